--- a/magpiemux/balancer.py
+++ b/magpiemux/balancer.py
@@ -319,6 +319,14 @@
         self._arm_timer()
         return self._actions
 
+    def members(self) -> tuple[int, int]:
+        """How many servers are listed, and how many of these get no ordinary request now."""
+        listed = [each for each in self._servers.values() if each.state is not ServerState.GONE]
+        avoided = [
+            each for each in listed if each.state is not ServerState.READY or each.ejected_until is not None
+        ]
+        return len(listed), len(avoided)
+
     # -----------------------------------------------------------------------------------------------
     # The server list
 
--- a/micadeck/__main__.py
+++ b/micadeck/__main__.py
@@ -14,6 +14,7 @@
 import uvloop
 
 from micadeck.config import Config, ConfigError, load
+from micadeck.control import Control
 from micadeck.sidecar import Sidecar
 
 _LINES_PER_S = 20.0
@@ -47,8 +48,10 @@
     try:
         config = load(os.environ)
     except ConfigError as fault:
+        sidecar.telemetry.config_reload_errors += 1
         log(f"reload: the old configuration stays in force: {fault}".replace("\n", " "))
     else:
+        sidecar.telemetry.config_reloads += 1
         sidecar.reload(config)
 
 
@@ -64,12 +67,17 @@
     )
     sidecar = Sidecar(config, log)
     loop.add_signal_handler(signal.SIGHUP, reload, sidecar, log)
+    control = Control(sidecar.calls())
+    if config.control is not None:
+        control.listen(config.control)
+        log(f"operators are heard on {config.control[0]}:{control.port}")
     await sidecar.start()
     log(f"{config.name} serves on {config.listen[0]}:{sidecar.frontend.port}")
     gc.freeze()  # what is there now stays: collections need not look at it
     await stop.wait()
     log("draining")
     await sidecar.drain()
+    control.close()
     log("drained")
 
 
--- a/micadeck/client.py
+++ b/micadeck/client.py
@@ -71,6 +71,7 @@
         self._poll = select.poll()
         self._reader = ResponseReader(most_bytes)
         self._ended: Ended | None = None
+        self._written: Callable[[], None] | None = None  # until the request's last byte is written
         self._unwritten = False
         self._closed = False
 
@@ -86,14 +87,19 @@
             return False
         return not self._poll.poll(0)
 
-    def exchange(self, request: Request, ended: Ended) -> None:
-        """Write a request; `ended` is called exactly once, but never from within this call."""
+    def exchange(self, request: Request, ended: Ended, written: Callable[[], None] | None = None) -> None:
+        """Write a request; `ended` is called exactly once, but never from within this call.
+
+        `written` is called when its last byte was handed to the network, if that comes about.
+        """
         assert self._transport is not None and self._ended is None
-        self._ended = ended
+        self._ended, self._written = ended, written
         self._reader.expect()
         self._transport.write(request.encode())
         if self._transport.is_closing():
             self._unwritten = True  # the write failed at once; connection_lost follows
+        if not self._unwritten:
+            self._all_written()
 
     def close(self) -> None:
         """Give the connection up.  An exchange under way is dropped without a word.
@@ -102,7 +108,7 @@
         transport itself closes its socket only in a later round of the event loop, and until then a further
         attempt would be a second copy beside this one.
         """
-        self._ended = None
+        self._ended = self._written = None
         self._stop_timer()
         if self._transport is not None and not self._closed:
             try:
@@ -127,6 +133,7 @@
 
     def resume_writing(self) -> None:
         self._unwritten = False
+        self._all_written()
 
     def get_buffer(self, sizehint: int) -> memoryview:
         return _BUFFER
@@ -145,6 +152,11 @@
 
     # The rest
 
+    def _all_written(self) -> None:
+        written, self._written = self._written, None
+        if written is not None:
+            written()
+
     def _read(self, data: bytes) -> None:
         reader = self._reader
         reader.feed(data)
--- a/micadeck/config.py
+++ b/micadeck/config.py
@@ -27,6 +27,7 @@
 
     name: str
     listen: Address
+    control: Address | None  # the operators' door; None: there is none
     discovery: Address
     settings: Settings
     seed: int
@@ -51,7 +52,7 @@
         raise ConfigError("BALANCER_CONFIG: the file must hold an object")
     from_environment = {
         key: environ[f"BALANCER_{key.upper()}"]
-        for key in ("name", "listen", "discovery")
+        for key in ("name", "listen", "discovery", "control")
         if f"BALANCER_{key.upper()}" in environ
     }
     return parse({**from_environment, **given})
@@ -75,6 +76,7 @@
     return Config(
         name=_text(given, "name"),
         listen=_address("listen", given.get("listen")),
+        control=_optional_address("control", given.get("control")),
         discovery=_address("discovery", given.get("discovery")),
         settings=settings,
         seed=_seed(given.get("seed")),
--- a/micadeck/frontend.py
+++ b/micadeck/frontend.py
@@ -12,13 +12,12 @@
 from typing import cast
 
 from magpiemux.interface import Settings
-from micadeck.client import Address
 from micadeck.http1 import CONTINUE, Headers, Request, RequestReader, Response
 from micadeck.incoming import BadRequest, Incoming, read_request
+from micadeck.lifecycle import Lifecycle
+from micadeck.listener import Acceptor
 
 MOST_BODY = 64 << 10
-_BACKLOG = 1_024
-_ACCEPTED_AT_ONCE = 8  # connections, before those that are open get their turn
 _READ_AT_ONCE = 8 << 10
 _HEALTH = b"/_health"
 
@@ -32,6 +31,7 @@
     )
     request_timeout_s: float = 2.6  # and to its last byte
     idle_timeout_s: float = 5.0  # at rest after an answer
+    leaving_s: float = 0.5  # at rest, or silent, while the sidecar is being emptied
     greeting_s: float = 0.25  # how long one that connected is spared before its silence counts against it
     linger_s: float = 0.5  # how long a client that was turned away may go on sending before it is cut off
     sweep_s: float = 0.1  # how often the times are looked at
@@ -89,7 +89,7 @@
         request, self._request = self._request, None
         turned_away = self.state is State.ENDING
         is_last = request is not None and not request.keep_alive
-        closing = self._frontend.is_draining or turned_away or is_last
+        closing = self._frontend.lifecycle.is_emptying or turned_away or is_last
         if closing:
             headers = [*headers, (b"connection", b"close")]
         with_body = request is None or request.method != b"HEAD"
@@ -206,7 +206,8 @@
         self._request = request
         self._frontend.moved(self, State.SERVING)
         if request.target == _HEALTH:
-            self.answer(200, [], b"ready\n")
+            phase = self._frontend.lifecycle.phase.value
+            self.answer(200 if self._frontend.lifecycle.is_ready else 503, [], f"{phase}\n".encode())
             return
         try:
             self._owed = self._frontend.arrived(self, self._frontend.read(request))
@@ -233,6 +234,7 @@
         self,
         settings: Settings,
         limits: ClientLimits,
+        lifecycle: Lifecycle,
         on_arrival: Callable[[ClientSide, Incoming], int | None],
         on_gone: Callable[[int], None],
     ) -> None:
@@ -242,74 +244,37 @@
         self._limits = limits
         self.arrived = on_arrival
         self.gone = on_gone
-        self.is_draining = False
+        self.lifecycle = lifecycle
         self.buffer = memoryview(bytearray(_READ_AT_ONCE))  # each read is used up before the next
         self._by_state: dict[State, dict[ClientSide, None]] = {each: {} for each in State}
         self._held = 0
-        self._listener: socket.socket | None = None
-        self._accepting: set[asyncio.Task[None]] = set()
+        self._acceptor: Acceptor | None = None
         self._sweep: asyncio.TimerHandle | None = None
         self.last_opened = 0.0
 
-    async def listen(self, address: Address) -> None:
-        family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
-        listener = socket.socket(family, socket.SOCK_STREAM)
-        try:
-            listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-            listener.bind(address)
-            listener.setblocking(False)
-            listener.listen(_BACKLOG)
-        except OSError:
-            listener.close()
-            raise
-        self._listener = listener
-        asyncio.get_running_loop().add_reader(listener.fileno(), self._accept, listener)
+    def listen(self, listener: socket.socket) -> None:
+        """Take clients from this listening socket on."""
+        self._acceptor = Acceptor(listener, lambda: ClientSide(self))
         self._sweep_later()
 
-    def _accept(self, listener: socket.socket) -> None:
-        """Take a few new connections; the rest wait in the kernel.
-
-        Guards the limit on descriptors: event loops accept all that is there before any of it is counted, so
-        hundreds that connect at once would take every one.
-        """
-        loop = asyncio.get_running_loop()
-        for _ in range(_ACCEPTED_AT_ONCE - len(self._accepting)):
-            try:
-                accepted, _ = listener.accept()
-            except OSError:
-                return  # none is left, or no descriptor is: then those that are closing will give one back
-            accepted.setblocking(False)
-            task = loop.create_task(self._connect(accepted))
-            self._accepting.add(task)
-            task.add_done_callback(self._accepting.discard)
-
-    async def _connect(self, accepted: socket.socket) -> None:
-        try:
-            await asyncio.get_running_loop().connect_accepted_socket(lambda: ClientSide(self), accepted)
-        except OSError:
-            accepted.close()  # the client was quicker
-
     @property
     def port(self) -> int:
-        assert self._listener is not None
-        return int(self._listener.getsockname()[1])
+        assert self._acceptor is not None
+        return self._acceptor.port
 
     def read(self, request: Request) -> Incoming:
         return read_request(request, self._settings, self._classes)
 
-    def drain(self) -> None:
-        """Let go of connections at rest; every further answer closes its own."""
-        self.is_draining = True
-        self.close_idle()
-
     def close_idle(self) -> None:
         for each in [each for each in self.connections() if each.is_idle]:
             each.close()
 
     def stop_listening(self) -> None:
-        if self._listener is not None and self._listener.fileno() >= 0:
-            asyncio.get_running_loop().remove_reader(self._listener.fileno())
-            self._listener.close()
+        if self._acceptor is not None:
+            self._acceptor.close()
+
+    def close(self) -> None:
+        self.stop_listening()
         if self._sweep is not None:
             self._sweep.cancel()
 
@@ -391,16 +356,22 @@
         self._sweep = asyncio.get_running_loop().call_later(self._limits.sweep_s, self._close_overdue)
 
     def _close_overdue(self) -> None:
-        """Close what has taken too long: every descriptor that a client holds for nothing is another's."""
+        """Close what has taken too long: every descriptor that a client holds for nothing is another's.
+
+        While the sidecar is being emptied that is soon, yet not at once: a client in the middle of its work
+        has its next request answered, with word that the connection closes, and none meets a closed one.
+        """
         now, limits = asyncio.get_running_loop().time(), self._limits
+        leaving_s = limits.leaving_s if self.lifecycle.is_emptying else limits.idle_timeout_s
         for each in list(self._by_state[State.SILENT]):
-            if now - each.since >= limits.header_timeout_s:
+            if now - each.since >= min(leaving_s, limits.header_timeout_s):
                 each.close()
         for each in list(self._by_state[State.READING]):
             allowed = limits.request_timeout_s if each.has_head else limits.header_timeout_s
             if now - each.since >= allowed:
                 each.reject(408)
-        for state, allowed in ((State.RESTING, limits.idle_timeout_s), (State.ENDING, limits.linger_s)):
+        resting_s = min(leaving_s, limits.idle_timeout_s)
+        for state, allowed in ((State.RESTING, resting_s), (State.ENDING, limits.linger_s)):
             for each in list(self._by_state[state]):
                 if now - each.since < allowed:
                     break  # they stand in the order in which they came to rest
--- /dev/null
+++ b/micadeck/listener.py
@@ -0,0 +1,67 @@
+"""Listening sockets: binding one, and accepting a few connections at a time."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections.abc import Callable
+
+from micadeck.client import Address
+
+_BACKLOG = 1_024
+_ACCEPTED_AT_ONCE = 8  # connections, before those that are open get their turn
+
+
+def bind(address: Address) -> socket.socket:
+    """Listen on this address; raise OSError where that can't be done."""
+    family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
+    listener = socket.socket(family, socket.SOCK_STREAM)
+    try:
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listener.bind(address)
+        listener.setblocking(False)
+        listener.listen(_BACKLOG)
+    except OSError:
+        listener.close()
+        raise
+    return listener
+
+
+class Acceptor:
+    """Accepts connections of one listening socket, each for a protocol of its own."""
+
+    def __init__(self, listener: socket.socket, protocol: Callable[[], asyncio.BaseProtocol]) -> None:
+        self._listener = listener
+        self._protocol = protocol
+        self._accepting: set[asyncio.Task[None]] = set()
+        self.port = int(listener.getsockname()[1])
+        asyncio.get_running_loop().add_reader(listener.fileno(), self._accept)
+
+    def close(self) -> None:
+        """Accept no more.  Only this process's copy of the socket goes: another may still listen on it."""
+        if self._listener.fileno() >= 0:
+            asyncio.get_running_loop().remove_reader(self._listener.fileno())
+            self._listener.close()
+
+    def _accept(self) -> None:
+        """Take a few new connections; the rest wait in the kernel.
+
+        Guards the limit on descriptors: event loops accept all that is there before any of it is counted, so
+        hundreds that connect at once would take every one.
+        """
+        loop = asyncio.get_running_loop()
+        for _ in range(_ACCEPTED_AT_ONCE - len(self._accepting)):
+            try:
+                accepted, _ = self._listener.accept()
+            except OSError:
+                return  # none is left, or no descriptor is: then those that are closing will give one back
+            accepted.setblocking(False)
+            task = loop.create_task(self._connect(accepted))
+            self._accepting.add(task)
+            task.add_done_callback(self._accepting.discard)
+
+    async def _connect(self, accepted: socket.socket) -> None:
+        try:
+            await asyncio.get_running_loop().connect_accepted_socket(self._protocol, accepted)
+        except OSError:
+            accepted.close()  # the peer was quicker
--- a/micadeck/sidecar.py
+++ b/micadeck/sidecar.py
@@ -8,7 +8,7 @@
 
 import asyncio
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Mapping, Sequence
 from dataclasses import replace
 
 from magpiemux import Balancer
@@ -41,16 +41,21 @@
 from micadeck import discovery
 from micadeck.clock import Clock
 from micadeck.config import Config
+from micadeck.control import Call as ControlCall
+from micadeck.control import CallRefused
 from micadeck.frontend import ClientLimits, ClientSide, Frontend
 from micadeck.http1 import Headers, Request, Response
 from micadeck.incoming import BadRequest, Incoming
+from micadeck.lifecycle import Lifecycle
+from micadeck.listener import bind
 from micadeck.peers import Peers
+from micadeck.telemetry import Result, Telemetry
 from micadeck.upstream import Call, Upstream, load_report
 
 _RESERVED = 48  # descriptors for everything but clients and servers
 _FOR_CLIENTS = 0.5  # of the rest
 _REQUESTS_OF_MEMORY = (1 << 20) // 8  # for each MB of the limit: what unanswered requests may take of it
-_ONLY_AT_START = ("name", "listen", "peer_listen", "seed", "settings", "memory_mb")
+_ONLY_AT_START = ("name", "listen", "control", "peer_listen", "seed", "settings", "memory_mb")
 _PROBE_WITHIN_US = 1_000_000
 _NEW_FOR_S = 0.4  # how long after SIGTERM new connections may go on coming
 _QUIET_S = 0.05  # and how long none must have come before the listener closes
@@ -58,6 +63,8 @@
 _LONGEST_DEADLINE_S = 3.0  # as far as that is counted
 _SPARE_S = 0.1  # of that time, kept for writing the last answers
 
+_RESULTS = {200: Result.COMPLETED, 429: Result.REJECTED, 503: Result.REJECTED}  # any other status: failed
+
 
 class _Open:
     """A request that was taken: until it is answered and its attempts have ended."""
@@ -90,7 +97,9 @@
         self._next_request = 1
         self._stop_by: int | None = None  # when all must be answered, once it drains
         client_limits = client_limits or ClientLimits(most_bytes=config.memory_mb * _REQUESTS_OF_MEMORY)
-        self.frontend = Frontend(config.settings, client_limits, self._arrived, self._gone)
+        self.lifecycle = Lifecycle()
+        self.telemetry = Telemetry(each.name for each in config.settings.classes)
+        self.frontend = Frontend(config.settings, client_limits, self.lifecycle, self._arrived, self._gone)
         self._upstream = Upstream(self._clock, config.settings.limits)
         self._divide_descriptors(config.sockets)
         self._discovery = discovery.Discovery(
@@ -114,13 +123,42 @@
         self._upstream.listed(self._config.known)
         self._post(self._config.known.event(ListKind.REMEMBERED))
         self._discovery.start()
-        await self.frontend.listen(self._config.listen)
+        self.frontend.listen(bind(self._config.listen))
+        self.lifecycle.started()
 
     @property
     def open_requests(self) -> int:
         """Requests that are not over: unanswered, or with an attempt still out."""
         return len(self._open)
 
+    def calls(self) -> Mapping[str, ControlCall]:
+        """What operators may ask for."""
+        return {
+            "readyz": self._readyz,
+            "telemetry": self._figures,
+            "evacuate": self._evacuate,
+            "activate": self._activate,
+        }
+
+    def _readyz(self) -> Sequence[str]:
+        if not self.lifecycle.is_ready:
+            raise CallRefused(self.lifecycle.phase.value)
+        return ["ready"]
+
+    def _figures(self) -> Sequence[str]:
+        members, unavailable = self._balancer.members()
+        gauges = {"pending": len(self._owed), "members": members, "members_unavailable": unavailable}
+        return ["", *self.telemetry.lines(gauges), "."]
+
+    def _evacuate(self) -> Sequence[str]:
+        self.lifecycle.evacuate()
+        return [self.lifecycle.phase.value]
+
+    def _activate(self) -> Sequence[str]:
+        if not self.lifecycle.activate():
+            raise CallRefused(self.lifecycle.phase.value)
+        return [self.lifecycle.phase.value]
+
     def reload(self, config: Config) -> None:
         """Take over what a new configuration may change in a running sidecar; name what it may not."""
         before, self._config = self._config, config
@@ -145,7 +183,8 @@
         longest_s = min(max(each.deadline_us for each in self._settings.classes) / 1e6, _LONGEST_DEADLINE_S)
         left_s = longest_s + _KILLED_AFTER_S - _SPARE_S
         self._stop_by = self._clock.now() + int(left_s * 1e6)
-        self.frontend.drain()
+        self.lifecycle.stop()
+        self.frontend.close_idle()  # while new connections are still taken
         await asyncio.sleep(_NEW_FOR_S)
         while loop.time() < self.frontend.last_opened + _QUIET_S and loop.time() < began + _KILLED_AFTER_S:
             await asyncio.sleep(_QUIET_S / 2)
@@ -163,7 +202,7 @@
         self._discovery.close()
         self._peers.close()
         self._upstream.close()
-        self.frontend.stop_listening()
+        self.frontend.close()
 
     # Events
 
@@ -204,6 +243,7 @@
             # Guards against a client that takes another's id: servers tell requests apart by it.
             raise BadRequest("request-id is that of an open request", 409)
         if most is not None and len(self._owed) >= most:
+            self.telemetry.ended(incoming.service_class, Result.REJECTED)
             client.answer(503, [], b"")
             return None
         now = self._clock.now()
@@ -291,7 +331,7 @@
         def done(outcome: Outcome, response: Response | None) -> None:
             self._attempt_ended(number, attempt, action.server, sent_at, outcome, response)
 
-        call = Call(action.server, action.until, held.incoming.message, done)
+        call = Call(action.server, action.until, held.incoming.message, done, self.telemetry.attempt_written)
         held.calls.append(call)
         held.out += 1
         self._upstream.start(call)
@@ -331,8 +371,10 @@
         return held is None or held.client is None
 
     def _answer(self, request: int, status: int, headers: Headers, body: bytes = b"") -> None:
+        held = self._open.get(request)
         client = self._settle(request)
-        if client is not None:
+        if held is not None and client is not None:
+            self.telemetry.ended(held.incoming.service_class, _RESULTS.get(status, Result.FAILED))
             client.answer(status, headers, body)
         self._forget_if_over(request)
 
--- a/micadeck/upstream.py
+++ b/micadeck/upstream.py
@@ -25,13 +25,21 @@
 class Call:
     """One request to one server.  `done` is called exactly once, never from within `start` or `cancel`."""
 
-    __slots__ = ("connection", "done", "ended", "message", "server", "timer", "until")
-
-    def __init__(self, server: str, until: int, message: Callable[[int], Request], done: Done) -> None:
+    __slots__ = ("connection", "done", "ended", "message", "server", "timer", "until", "written")
+
+    def __init__(
+        self,
+        server: str,
+        until: int,
+        message: Callable[[int], Request],
+        done: Done,
+        written: Callable[[], None] | None = None,
+    ) -> None:
         self.server = server
         self.until = until
         self.message = message  # given the time left, in microseconds
         self.done = done
+        self.written = written  # called once the server may have begun it
         self.ended = False
         self.connection: ClientConnection | None = None  # once it is written
         self.timer: asyncio.TimerHandle | None = None
@@ -162,7 +170,8 @@
             self._end(call, _outcome(how), how if isinstance(how, Response) else None)
 
         call.connection = connection
-        connection.exchange(call.message(max(call.until - self._clock.now(), 1_000)), ended)
+        message = call.message(max(call.until - self._clock.now(), 1_000))
+        connection.exchange(message, ended, call.written)
 
     # Connections
 
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -34,6 +34,7 @@
 GOOD: dict[str, Any] = {
     "name": "n0",
     "listen": f"{HOST}:0",
+    "control": f"{HOST}:0",
     "discovery": f"{HOST}:9",
     "seed": "8c1f30d27a5be964",
     "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
@@ -54,6 +55,7 @@
         (_without("name"), "name"),
         ({**GOOD, "listen": "localhost:80"}, "listen"),
         ({**GOOD, "discovery": 5}, "discovery"),
+        ({**GOOD, "control": "nowhere"}, "control"),
         ({**GOOD, "seed": "xyz"}, "seed"),
         ({**GOOD, "limits": {"sockets": 3}}, "limits.sockets"),
         ({**GOOD, "known": {"version": 1}}, "known: full"),
@@ -89,9 +91,23 @@
     """The running program, with one server behind it."""
 
     def __init__(
-        self, process: asyncio.subprocess.Process, port: int, server: ScriptedServer, config: Path
+        self,
+        process: asyncio.subprocess.Process,
+        port: int,
+        control_port: int,
+        server: ScriptedServer,
+        config: Path,
     ) -> None:
-        self.process, self.port, self.server, self.config = process, port, server, config
+        self.process, self.port, self.control_port = process, port, control_port
+        self.server, self.config = server, config
+
+    async def call(self, name: str) -> list[str]:
+        """What the operators' door answers."""
+        reader, writer = await asyncio.open_connection(HOST, self.control_port)
+        writer.write(f"{name}\n".encode())
+        answer = await soon(reader.read())
+        writer.close()
+        return answer.decode().splitlines()
 
     async def says(self) -> str:
         """The next line of its log."""
@@ -125,10 +141,13 @@
     process = await started(path)
     try:
         assert process.stderr is not None
-        ready = (await soon(process.stderr.readline())).decode()
-        told = re.search(r"serves on .*:(\d+)", ready)
-        assert told is not None, ready
-        yield Program(process, int(told[1]), server, path)
+        ports = []
+        for what in ("operators are heard on", "serves on"):
+            said = (await soon(process.stderr.readline())).decode()
+            told = re.search(what + r" .*:(\d+)", said)
+            assert told is not None, said
+            ports.append(int(told[1]))
+        yield Program(process, ports[1], ports[0], server, path)
     finally:
         if process.returncode is None:
             process.kill()
@@ -137,6 +156,12 @@
         discovery.stop()
 
 
+async def until_says(running: Program, answer: str) -> None:
+    """Wait for `readyz` to answer so."""
+    while (await running.call("readyz"))[0] != answer:
+        await asyncio.sleep(0.01)
+
+
 def test_sigterm_answers_what_was_taken_and_what_still_comes_then_exits_0(tmp_path: Path) -> None:
     # Guards against requests lost at a restart: taken before SIGTERM, on kept connections, and on new ones.
     async def work() -> None:
@@ -150,7 +175,9 @@
             taken, resting = await running.client(), await running.client()
             taken.send(request("lodge"))
             await until(lambda: len(running.server.heard) == 1)
+            assert await running.call("readyz") == ["+OK ready"]
             running.process.send_signal(signal.SIGTERM)
+            await until_says(running, "-ERR stopping")
             assert await soon(resting.reader.read()) == b""  # a connection at rest is let go
             late = await running.client()
             late.send(request("lodge"))
@@ -215,10 +242,27 @@
     async def work() -> None:
         async with program(OK, tmp_path) as running:
             path = tmp_path / "second.json"
-            path.write_text(json.dumps({**GOOD, "listen": f"{HOST}:{running.port}"}))
-            second = await started(path)
-            _, told = await soon(second.communicate())
-            assert second.returncode == 1
-            assert told.startswith(b"micadeck: can't listen: ") and told.count(b"\n") == 1
+            for key, port in (("listen", running.port), ("control", running.control_port)):
+                path.write_text(json.dumps({**GOOD, "control": None, key: f"{HOST}:{port}"}))
+                second = await started(path)
+                _, told = await soon(second.communicate())
+                assert second.returncode == 1
+                assert told.startswith(b"micadeck: can't listen: ") and told.count(b"\n") == 1
+
+
+def test_a_started_program_is_evacuated_and_activated_through_its_door(tmp_path: Path) -> None:
+    async def work() -> None:
+        async with program(OK, tmp_path) as running:
+            assert (await (await running.client()).ask("lodge")).status == 200
+            assert "app.downstream_requests.lodge.completed=1" in await running.call("telemetry")
+            assert await running.call("evacuate") == ["+OK evacuating"]
+            assert await running.call("readyz") == ["-ERR evacuating"]
+            assert (await (await running.client()).ask("lodge")).headers["connection"] == "close"
+            assert await running.call("activate") == ["+OK serving"]
+            assert await running.call("readyz") == ["+OK ready"]
+            assert "connection" not in (await (await running.client()).ask("lodge")).headers
+            assert (await running.call("telemetry"))[-1] == "."
+
+    play(work)
 
     play(work)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -55,6 +55,17 @@
     assert [each.request for each in stage.said(Refuse)] == [request]
 
 
+def test_a_request_given_up_on_is_answered_in_the_same_moment() -> None:
+    # Guards against holding back a final answer until near the deadline, so that its client can't ask again.
+    stage = Stage()
+    stage.servers(names(1))
+    request = stage.request("pay", remaining_us=2 * S)
+    stage.wait(20 * MS)
+    actions = stage.end(request, Outcome.ERROR)
+    assert [each.request for each in actions if isinstance(each, Fail)] == [request]
+    assert stage.now == START + 20 * MS
+
+
 def test_no_server_at_all_means_a_refusal_at_once() -> None:
     stage = Stage()
     request = stage.request("pay")
