--- a/micadeck/__main__.py
+++ b/micadeck/__main__.py
@@ -1,6 +1,7 @@
 """Starts a sidecar: `python -m micadeck`.
 
-Exit codes: 0 after SIGTERM or SIGINT, 1 if it can't listen, 2 if its configuration is bad.
+Exit codes: 0 after SIGTERM or SIGINT, 1 if it can't listen, 2 if its configuration or the listening socket
+that it inherits is bad.
 """
 
 from __future__ import annotations
@@ -9,14 +10,17 @@
 import gc
 import os
 import signal
+import socket
 import sys
 
 import uvloop
 
 from micadeck.config import Config, ConfigError, load
 from micadeck.control import Control
+from micadeck.listener import adopt
 from micadeck.sidecar import Sidecar
 
+_INHERITED = "BALANCER_INHERITED_FD"
 _LINES_PER_S = 20.0
 _LINES_AT_ONCE = 200.0
 
@@ -55,7 +59,7 @@
         sidecar.reload(config)
 
 
-async def serve(config: Config) -> None:
+async def serve(config: Config, inherited: socket.socket | None) -> None:
     """Run until SIGTERM or SIGINT, then drain; SIGHUP reads the configuration anew."""
     log = LineLog()
     stop = asyncio.Event()
@@ -71,7 +75,7 @@
     if config.control is not None:
         control.listen(config.control)
         log(f"operators are heard on {config.control[0]}:{control.port}")
-    await sidecar.start()
+    await sidecar.start(inherited)
     log(f"{config.name} serves on {config.listen[0]}:{sidecar.frontend.port}")
     gc.freeze()  # what is there now stays: collections need not look at it
     await stop.wait()
@@ -87,9 +91,15 @@
     except ConfigError as fault:
         print(f"micadeck: config: {fault}".replace("\n", " "), file=sys.stderr)
         return 2
+    descriptor = os.environ.get(_INHERITED)
+    try:
+        inherited = adopt(descriptor) if descriptor else None
+    except ValueError as fault:
+        print(f"micadeck: {_INHERITED}: {fault}", file=sys.stderr)
+        return 2
     try:
         with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
-            runner.run(serve(config))
+            runner.run(serve(config, inherited))
     except OSError as fault:
         print(f"micadeck: can't listen: {fault}", file=sys.stderr)
         return 1
--- a/micadeck/listener.py
+++ b/micadeck/listener.py
@@ -27,6 +27,21 @@
     return listener
 
 
+def adopt(descriptor: str) -> socket.socket:
+    """Take over a listening socket that this process inherited; raise ValueError where it is none."""
+    try:
+        listener = socket.socket(fileno=int(descriptor))
+    except (ValueError, OverflowError, OSError) as fault:
+        raise ValueError(f"no open socket is at descriptor {descriptor!r:.20}: {fault}") from None
+    is_stream = listener.family in (socket.AF_INET, socket.AF_INET6) and listener.type is socket.SOCK_STREAM
+    if not is_stream or not listener.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN):
+        listener.detach()  # it is somebody else's, whatever it is
+        raise ValueError(f"descriptor {descriptor} is not a listening TCP socket")
+    listener.set_inheritable(False)
+    listener.setblocking(False)
+    return listener
+
+
 class Acceptor:
     """Accepts connections of one listening socket, each for a protocol of its own."""
 
--- a/micadeck/sidecar.py
+++ b/micadeck/sidecar.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from collections import deque
 from collections.abc import Callable, Mapping, Sequence
 from dataclasses import replace
@@ -46,7 +47,7 @@
 from micadeck.frontend import ClientLimits, ClientSide, Frontend
 from micadeck.http1 import Headers, Request, Response
 from micadeck.incoming import BadRequest, Incoming
-from micadeck.lifecycle import Lifecycle
+from micadeck.lifecycle import Lifecycle, Phase
 from micadeck.listener import bind
 from micadeck.peers import Peers
 from micadeck.telemetry import Result, Telemetry
@@ -57,6 +58,10 @@
 _REQUESTS_OF_MEMORY = (1 << 20) // 8  # for each MB of the limit: what unanswered requests may take of it
 _ONLY_AT_START = ("name", "listen", "control", "peer_listen", "seed", "settings", "memory_mb")
 _PROBE_WITHIN_US = 1_000_000
+_SHARED = 0.5  # of what servers' connections may take, while a second process of this sidecar may run
+_SHARED_FOR_S = 5.0  # from a new version's yes: the longest time in which the old one may still be there
+_FRESH_WITHIN_S = 1.0  # how long a start waits for a fresh list before it goes by the known one
+_FRESH_WITHIN_TAKEOVER_S = 3.0  # and where the version before still serves meanwhile
 _NEW_FOR_S = 0.4  # how long after SIGTERM new connections may go on coming
 _QUIET_S = 0.05  # and how long none must have come before the listener closes
 _KILLED_AFTER_S = 0.7  # SIGKILL comes no sooner after SIGTERM than this and the longest deadline
@@ -95,6 +100,9 @@
         self._open: dict[int, _Open] = {}
         self._owed: set[bytes] = set()  # ids of the requests without their final answer
         self._next_request = 1
+        self._has_fresh_list = asyncio.Event()
+        self._is_inherited = False  # whether other processes hold the listening socket too
+        self._shares_room = False  # whether a second process of this sidecar may be running
         self._stop_by: int | None = None  # when all must be answered, once it drains
         client_limits = client_limits or ClientLimits(most_bytes=config.memory_mb * _REQUESTS_OF_MEMORY)
         self.lifecycle = Lifecycle()
@@ -116,16 +124,37 @@
             lambda number, payload: self._post(MessageReceived(number, payload)),
         )
 
-    async def start(self) -> None:
-        """Take up the last known list, then listen."""
+    async def start(self, inherited: socket.socket | None = None) -> None:
+        """Take up the last known list, and listen: on an inherited socket only once there is a fresh one."""
+        self._is_inherited = self._shares_room = inherited is not None
         if self._settings.limits.may_message and self._config.peer_listen is not None:
             await self._peers.listen(self._config.peer_listen)
         self._upstream.listed(self._config.known)
         self._post(self._config.known.event(ListKind.REMEMBERED))
         self._discovery.start()
-        self.frontend.listen(bind(self._config.listen))
+        if inherited is None:
+            self.frontend.listen(bind(self._config.listen))
+            await self._freshly_listed(_FRESH_WITHIN_S)
+        else:
+            self._divide_descriptors(self._config.sockets)
+            await self._freshly_listed(_FRESH_WITHIN_TAKEOVER_S)
+            self.frontend.listen(inherited)
+            asyncio.get_running_loop().call_later(_SHARED_FOR_S, self._alone)
         self.lifecycle.started()
 
+    async def _freshly_listed(self, within_s: float) -> None:
+        try:
+            async with asyncio.timeout(within_s):
+                await self._has_fresh_list.wait()
+        except TimeoutError:
+            self._log(f"no fresh list in {within_s:g} s: going by the known one")
+
+    def _alone(self) -> None:
+        """The version before has ended by now."""
+        if self.lifecycle.phase is not Phase.STOPPING:
+            self._shares_room = False
+            self._divide_descriptors(self._config.sockets)
+
     @property
     def open_requests(self) -> int:
         """Requests that are not over: unanswered, or with an attempt still out."""
@@ -174,29 +203,49 @@
     def _divide_descriptors(self, sockets: int) -> None:
         room = sockets - _RESERVED
         self.frontend.most = int(room * _FOR_CLIENTS)
-        self._upstream.most = room - self.frontend.most
+        # Clients come to either process, never more of them in all; it is servers that both connect to.
+        self._upstream.most = int((room - self.frontend.most) * (_SHARED if self._shares_room else 1.0))
 
     async def drain(self) -> None:
         """Answer all that was taken and is still coming, then let go of everything."""
-        loop = asyncio.get_running_loop()
-        began = loop.time()
+        began = asyncio.get_running_loop().time()
         longest_s = min(max(each.deadline_us for each in self._settings.classes) / 1e6, _LONGEST_DEADLINE_S)
         left_s = longest_s + _KILLED_AFTER_S - _SPARE_S
         self._stop_by = self._clock.now() + int(left_s * 1e6)
         self.lifecycle.stop()
+        if self._is_inherited:
+            await self._hand_over(began + left_s)
+        else:
+            await self._run_dry(began, began + left_s)
+        for request in list(self._open):
+            self._answer(request, 504, [])  # the decisions had no word on it in time
+        await asyncio.sleep(0)
+        self.close()
+
+    async def _hand_over(self, until: float) -> None:
+        """Leave new connections to whoever else holds the listening socket, and finish those that are open.
+
+        Idle ones are let go of by the client side, after a rest: few requests then meet a closed connection.
+        """
+        self.frontend.stop_listening()
+        self._shares_room = True
+        self._divide_descriptors(self._config.sockets)
+        self._upstream.close_all_idle()
+        while self.frontend.open_connections and asyncio.get_running_loop().time() < until:
+            await asyncio.sleep(0.01)
+
+    async def _run_dry(self, began: float, until: float) -> None:
+        """Nobody else listens: take what still comes, then let go of everything at rest."""
+        loop = asyncio.get_running_loop()
         self.frontend.close_idle()  # while new connections are still taken
         await asyncio.sleep(_NEW_FOR_S)
         while loop.time() < self.frontend.last_opened + _QUIET_S and loop.time() < began + _KILLED_AFTER_S:
             await asyncio.sleep(_QUIET_S / 2)
         self.frontend.stop_listening()
-        while (self._owed or self.frontend.open_connections) and loop.time() < began + left_s:
+        while (self._owed or self.frontend.open_connections) and loop.time() < until:
             if not self._owed:
                 self.frontend.close_idle()
             await asyncio.sleep(0.01)
-        for request in list(self._open):
-            self._answer(request, 504, [])  # the decisions had no word on it in time
-        await asyncio.sleep(0)
-        self.close()
 
     def close(self) -> None:
         self._discovery.close()
@@ -234,6 +283,7 @@
             self._answer(event.request, 500, [])
 
     def _listed(self, listing: discovery.Listing) -> None:
+        self._has_fresh_list.set()
         self._upstream.listed(listing)
         self._post(listing.event())
 
--- a/micadeck/upstream.py
+++ b/micadeck/upstream.py
@@ -141,6 +141,10 @@
         if server is not None:
             self._close_idle(server)
 
+    def close_all_idle(self) -> None:
+        for server in self._servers.values():
+            self._close_idle(server)
+
     def close(self) -> None:
         for task in self._tasks:
             task.cancel()
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -145,8 +145,18 @@
         self.version = 1
         self.servers: list[dict[str, Any]] = []
         self.news: asyncio.Queue[bytes] = asyncio.Queue()
+        self._speaks = asyncio.Event()
+        self._speaks.set()
+
+    def fall_silent(self) -> None:
+        """Answer nothing until `speak`."""
+        self._speaks.clear()
+
+    def speak(self) -> None:
+        self._speaks.set()
 
     async def _answer(self, heard: Heard) -> bytes:
+        await self._speaks.wait()
         if "wait_ms" in heard.target and not heard.target.endswith("wait_ms=0"):
             return await self.news.get()
         return reply(json.dumps({"version": self.version, "full": True, "servers": self.servers}).encode())
@@ -252,6 +262,8 @@
     given: dict[str, Any] | None = None,
     listed: bool = True,
     client_limits: ClientLimits | None = None,
+    started: bool = True,
+    silent_discovery: bool = False,
     **settings: Any,
 ) -> AsyncIterator[Stage]:
     """A sidecar, its discovery and one server for each script, all known to it from the start."""
@@ -259,6 +271,8 @@
     discovery = ScriptedDiscovery()
     if listed:
         discovery.servers = [line(f"s-{index}", each.address) for index, each in enumerate(servers)]
+    if silent_discovery:
+        discovery.fall_silent()
     await discovery.start()
     limits = {"sendCap": 3, "mayCancel": True, "retryAfter": True, "dialTimeoutUs": 1_000_000}
     config = {
@@ -280,7 +294,8 @@
     }
     log: list[str] = []
     sidecar = Sidecar(parse(config), log.append, client_limits)
-    await sidecar.start()
+    if started:
+        await sidecar.start()
     scene = Stage(sidecar, discovery, servers, log)
     try:
         yield scene
--- /dev/null
+++ b/tests/running.py
@@ -0,0 +1,127 @@
+"""The program as a started process, with one server behind it."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import re
+import socket
+import sys
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
+from pathlib import Path
+from typing import Any
+
+from loopback import CLASSES, HOST, Client, Heard, ScriptedDiscovery, ScriptedServer, line, soon
+
+ROOT = Path(__file__).parent.parent
+GOOD: dict[str, Any] = {
+    "name": "n0",
+    "listen": f"{HOST}:0",
+    "control": f"{HOST}:0",
+    "discovery": f"{HOST}:9",
+    "seed": "8c1f30d27a5be964",
+    "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+    "known": {"version": 1, "full": True, "servers": []},
+    "settings": {"lanes": CLASSES, "zone": "a", "discovery": "on_request"},
+}
+
+
+class Program:
+    """The running program, with one server behind it."""
+
+    def __init__(
+        self,
+        process: asyncio.subprocess.Process,
+        port: int,
+        control_port: int,
+        server: ScriptedServer,
+        config: Path,
+    ) -> None:
+        self.process, self.port, self.control_port = process, port, control_port
+        self.server, self.config = server, config
+
+    async def call(self, name: str) -> list[str]:
+        """What the operators' door answers."""
+        reader, writer = await asyncio.open_connection(HOST, self.control_port)
+        writer.write(f"{name}\n".encode())
+        answer = await soon(reader.read())
+        writer.close()
+        return answer.decode().splitlines()
+
+    async def says(self) -> str:
+        """The next line of its log."""
+        assert self.process.stderr is not None
+        return (await soon(self.process.stderr.readline())).decode()
+
+    async def client(self) -> Client:
+        return Client(*await asyncio.open_connection(HOST, self.port))
+
+
+async def started(config: Path, pass_fds: tuple[int, ...] = (), **environ: str) -> asyncio.subprocess.Process:
+    return await asyncio.create_subprocess_exec(
+        sys.executable,
+        "-m",
+        "micadeck",
+        cwd=ROOT,
+        env={**os.environ, "BALANCER_CONFIG": str(config), **environ},
+        pass_fds=pass_fds,
+        stderr=asyncio.subprocess.PIPE,
+    )
+
+
+@asynccontextmanager
+async def running_on(
+    config: Path, server: ScriptedServer, listener: socket.socket | None = None
+) -> AsyncIterator[Program]:
+    """The program, from the moment in which it serves, with the listening socket that it inherits, if any."""
+    if listener is None:
+        process = await started(config)
+    else:
+        descriptor = listener.fileno()
+        process = await started(config, (descriptor,), BALANCER_INHERITED_FD=str(descriptor))
+    try:
+        assert process.stderr is not None
+        ports = []
+        for what in ("operators are heard on", "serves on"):
+            said = (await soon(process.stderr.readline())).decode()
+            told = re.search(what + r" .*:(\d+)", said)
+            assert told is not None, said
+            ports.append(int(told[1]))
+        yield Program(process, ports[1], ports[0], server, config)
+    finally:
+        if process.returncode is None:
+            process.kill()
+            await process.wait()
+
+
+@asynccontextmanager
+async def world(
+    script: Callable[[Heard], Any] | bytes, folder: Path
+) -> AsyncIterator[tuple[Path, ScriptedServer]]:
+    """One server, a discovery that lists it, and a configuration that names both."""
+    server = await ScriptedServer(script).start()
+    discovery = ScriptedDiscovery()
+    discovery.servers = [line("s-1", server.address)]
+    await discovery.start()
+    known = {"version": 1, "full": True, "servers": discovery.servers}
+    path = folder / "config.json"
+    path.write_text(json.dumps({**GOOD, "discovery": discovery.address, "known": known}))
+    try:
+        yield path, server
+    finally:
+        server.stop()
+        discovery.stop()
+
+
+@asynccontextmanager
+async def program(script: Callable[[Heard], Any] | bytes, folder: Path) -> AsyncIterator[Program]:
+    async with world(script, folder) as (config, server), running_on(config, server) as running:
+        yield running
+
+
+async def until_says(running: Program, answer: str) -> None:
+    """Wait for `readyz` to answer so."""
+    while (await running.call("readyz"))[0] != answer:
+        await asyncio.sleep(0.01)
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -5,12 +5,9 @@
 import asyncio
 import json
 import os
-import re
 import signal
 import subprocess
 import sys
-from collections.abc import AsyncIterator, Callable
-from contextlib import asynccontextmanager
 from pathlib import Path
 from typing import Any
 
@@ -19,7 +16,6 @@
     CLASSES,
     HOST,
     OK,
-    Client,
     Heard,
     ScriptedDiscovery,
     ScriptedServer,
@@ -29,18 +25,7 @@
     soon,
     until,
 )
-
-ROOT = Path(__file__).parent.parent
-GOOD: dict[str, Any] = {
-    "name": "n0",
-    "listen": f"{HOST}:0",
-    "control": f"{HOST}:0",
-    "discovery": f"{HOST}:9",
-    "seed": "8c1f30d27a5be964",
-    "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
-    "known": {"version": 1, "full": True, "servers": []},
-    "settings": {"lanes": CLASSES, "zone": "a", "discovery": "on_request"},
-}
+from running import GOOD, ROOT, program, started, until_says
 
 
 def _without(key: str) -> dict[str, Any]:
@@ -87,81 +72,6 @@
     assert done.stderr.startswith(f"micadeck: config: {key}")
 
 
-class Program:
-    """The running program, with one server behind it."""
-
-    def __init__(
-        self,
-        process: asyncio.subprocess.Process,
-        port: int,
-        control_port: int,
-        server: ScriptedServer,
-        config: Path,
-    ) -> None:
-        self.process, self.port, self.control_port = process, port, control_port
-        self.server, self.config = server, config
-
-    async def call(self, name: str) -> list[str]:
-        """What the operators' door answers."""
-        reader, writer = await asyncio.open_connection(HOST, self.control_port)
-        writer.write(f"{name}\n".encode())
-        answer = await soon(reader.read())
-        writer.close()
-        return answer.decode().splitlines()
-
-    async def says(self) -> str:
-        """The next line of its log."""
-        assert self.process.stderr is not None
-        return (await soon(self.process.stderr.readline())).decode()
-
-    async def client(self) -> Client:
-        return Client(*await asyncio.open_connection(HOST, self.port))
-
-
-async def started(config: Path) -> asyncio.subprocess.Process:
-    return await asyncio.create_subprocess_exec(
-        sys.executable,
-        "-m",
-        "micadeck",
-        cwd=ROOT,
-        env={**os.environ, "BALANCER_CONFIG": str(config)},
-        stderr=asyncio.subprocess.PIPE,
-    )
-
-
-@asynccontextmanager
-async def program(script: Callable[[Heard], Any] | bytes, folder: Path) -> AsyncIterator[Program]:
-    server = await ScriptedServer(script).start()
-    discovery = ScriptedDiscovery()
-    discovery.servers = [line("s-1", server.address)]
-    await discovery.start()
-    known = {"version": 1, "full": True, "servers": discovery.servers}
-    path = folder / "config.json"
-    path.write_text(json.dumps({**GOOD, "discovery": discovery.address, "known": known}))
-    process = await started(path)
-    try:
-        assert process.stderr is not None
-        ports = []
-        for what in ("operators are heard on", "serves on"):
-            said = (await soon(process.stderr.readline())).decode()
-            told = re.search(what + r" .*:(\d+)", said)
-            assert told is not None, said
-            ports.append(int(told[1]))
-        yield Program(process, ports[1], ports[0], server, path)
-    finally:
-        if process.returncode is None:
-            process.kill()
-            await process.wait()
-        server.stop()
-        discovery.stop()
-
-
-async def until_says(running: Program, answer: str) -> None:
-    """Wait for `readyz` to answer so."""
-    while (await running.call("readyz"))[0] != answer:
-        await asyncio.sleep(0.01)
-
-
 def test_sigterm_answers_what_was_taken_and_what_still_comes_then_exits_0(tmp_path: Path) -> None:
     # Guards against requests lost at a restart: taken before SIGTERM, on kept connections, and on new ones.
     async def work() -> None:
--- /dev/null
+++ b/tests/test_upgrade.py
@@ -0,0 +1,181 @@
+"""A new version takes over under load: two started programs share one listening socket."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import signal
+import socket
+from collections.abc import Iterator
+from pathlib import Path
+
+import pytest
+from loopback import HOST, OK, Client, Heard, play, request, soon, stage, until
+from running import Program, running_on, started, until_says, world
+
+from micadeck.http1 import Request
+from micadeck.listener import adopt, bind
+
+
+@pytest.fixture
+def listener() -> Iterator[socket.socket]:
+    """The clients' listening socket, held by the platform."""
+    with bind((HOST, 0)) as held:
+        yield held
+
+
+async def connected(listener: socket.socket) -> Client:
+    return Client(*await asyncio.open_connection(*listener.getsockname()))
+
+
+def test_a_new_version_takes_over_and_the_old_one_finishes(listener: socket.socket, tmp_path: Path) -> None:
+    async def work() -> None:
+        release = asyncio.Event()
+
+        async def script(heard: Heard) -> bytes:
+            if heard.target == "/hold":
+                await release.wait()
+            return OK
+
+        async with world(script, tmp_path) as (config, server), running_on(config, server, listener) as old:
+            held, busy = await connected(listener), await connected(listener)
+            held.send(request("lodge", target="/hold"))
+            assert (await busy.ask("lodge")).status == 200
+            await until(lambda: len(server.heard) == 2)
+            async with running_on(config, server, listener) as new:
+                assert await new.call("readyz") == ["+OK ready"]
+                old.process.send_signal(signal.SIGTERM)
+                await until_says(old, "-ERR stopping")
+                await _all_answered_by(new, listener)
+                answer = await busy.ask("lodge")  # its connection is open, so the old one answers
+                assert (answer.status, answer.headers["connection"]) == (200, "close")
+                assert old.process.returncode is None
+                release.set()
+                answer = await held.answer()
+                assert (answer.status, answer.headers["connection"]) == (200, "close")
+                assert await soon(old.process.wait()) == 0
+                await _all_answered_by(new, listener)
+                assert new.process.returncode is None
+
+    play(work)
+
+
+async def _all_answered_by(new: Program, listener: socket.socket) -> None:
+    """New connections meet the new process, each of them: nothing that shares the socket has shut it."""
+    before = await _completed(new)
+    for _ in range(10):
+        client = await connected(listener)
+        assert (await client.ask("lodge")).status == 200
+        client.close()
+    assert await _completed(new) == before + 10
+
+
+async def _completed(running: Program) -> int:
+    name = "app.downstream_requests.lodge.completed="
+    (figure,) = [each for each in await running.call("telemetry") if each.startswith(name)]
+    return int(figure.removeprefix(name))
+
+
+def test_an_idle_connection_of_the_old_version_is_closed_and_it_ends(
+    listener: socket.socket, tmp_path: Path
+) -> None:
+    async def work() -> None:
+        async with world(OK, tmp_path) as (config, server), running_on(config, server, listener) as old:
+            idle = await connected(listener)
+            assert (await idle.ask("lodge")).status == 200
+            old.process.send_signal(signal.SIGTERM)
+            assert await soon(idle.reader.read()) == b""
+            assert await soon(old.process.wait()) == 0
+            waiting = await connected(listener)  # in line for the next version, not refused
+            waiting.send(request("lodge"))
+            async with running_on(config, server, listener):
+                assert (await waiting.answer()).status == 200
+
+    play(work)
+
+
+@pytest.mark.parametrize("what", ["nonsense", "-1", "99999", "file", "unconnected", "datagram"])
+def test_a_bad_descriptor_is_one_line_and_exit_code_2(what: str, tmp_path: Path) -> None:
+    async def work() -> None:
+        async with world(OK, tmp_path) as (config, _):
+            with (
+                config.open("rb") as file,
+                socket.socket() as unconnected,
+                socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as datagram,
+            ):
+                open_ones = {"file": file.fileno(), "unconnected": unconnected.fileno()}
+                open_ones["datagram"] = datagram.fileno()
+                told = str(open_ones.get(what, what))
+                process = await started(config, tuple(open_ones.values()), BALANCER_INHERITED_FD=told)
+                _, said = await soon(process.communicate())
+                assert process.returncode == 2
+                assert said.startswith(b"micadeck: BALANCER_INHERITED_FD: ") and said.count(b"\n") == 1
+
+    play(work)
+
+
+def test_adopting_leaves_what_is_not_a_listener_alone() -> None:
+    with socket.socket() as other:
+        with pytest.raises(ValueError, match="not a listening"):
+            adopt(str(other.fileno()))
+        os.fstat(other.fileno())  # still open
+
+
+async def health(port: int) -> int:
+    client = Client(*await asyncio.open_connection(HOST, port))
+    client.send(Request(b"GET", b"/_health", [(b"host", b"x")]).encode())
+    answer = await client.answer()
+    client.close()
+    return answer.status
+
+
+def test_a_start_without_a_fresh_list_is_not_ready_yet_and_serves_by_the_known_one(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    # Guards against waiting for a discovery that is down: others wait for this process.
+    async def work() -> None:
+        monkeypatch.setattr("micadeck.sidecar._FRESH_WITHIN_S", 0.5)
+        async with stage(OK, silent_discovery=True, started=False) as scene:
+            starting = asyncio.ensure_future(scene.sidecar.start())
+            await asyncio.sleep(0)
+            assert await health(scene.sidecar.frontend.port) == 503
+            assert (await scene.ask()).status == 200  # it takes what comes all the same: nobody else listens
+            assert not starting.done()
+            await soon(starting)
+            assert await health(scene.sidecar.frontend.port) == 200
+            assert scene.log == ["no fresh list in 0.5 s: going by the known one"]
+
+    play(work)
+
+
+def test_a_takeover_accepts_nothing_before_it_has_a_fresh_list(listener: socket.socket) -> None:
+    async def work() -> None:
+        async with stage(OK, silent_discovery=True, started=False) as scene:
+            starting = asyncio.ensure_future(scene.sidecar.start(adopt(str(os.dup(listener.fileno())))))
+            client = await connected(listener)
+            client.send(request("lodge"))
+            await asyncio.sleep(0.1)
+            assert scene.sidecar.frontend.open_connections == 0
+            assert scene.sidecar.lifecycle.phase.value == "starting"
+            scene.discovery.speak()
+            await soon(starting)
+            assert (await client.answer()).status == 200
+
+    play(work)
+
+
+def test_room_for_servers_is_halved_while_two_versions_run(
+    listener: socket.socket, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def work() -> None:
+        monkeypatch.setattr("micadeck.sidecar._SHARED_FOR_S", 0.2)
+        async with stage(OK, started=False) as scene:
+            whole = scene.sidecar._upstream.most
+            await scene.sidecar.start(adopt(str(os.dup(listener.fileno()))))
+            assert scene.sidecar._upstream.most == whole // 2
+            await until(lambda: scene.sidecar._upstream.most == whole)
+            ending = asyncio.ensure_future(scene.sidecar.drain())
+            await until(lambda: scene.sidecar._upstream.most == whole // 2)
+            await soon(ending)
+
+    play(work)
