--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -70,9 +70,7 @@
     def use(decide: Callable[[Event], list[Action]]) -> Scripted:
         balancer = Scripted(decide)
         monkeypatch.setattr("micadeck.sidecar.Balancer", balancer)
-        monkeypatch.setattr(
-            "micadeck.sidecar._FRESH_WITHIN_S", 0.0
-        )  # scripts ask for none
+        monkeypatch.setattr("micadeck.sidecar._FRESH_WITHIN_S", 0.0)  # scripts ask for none
         return balancer
 
     return use
