Take new settings at SIGHUP after a strict check of the whole file

Ruled out before: figures that lag, for only `failed` of the new class was untrue, and discovery, which moved as told.

--- a/magpiemux/adapter.py
+++ b/magpiemux/adapter.py
@@ -155,6 +155,15 @@
 _EVERY_PEER = -1
 
 
+def wire_path(path: str) -> str:
+    """The path of a settings key as the wire names it, given as interface.py does."""
+    first, *rest = path.split(".")
+    name, bracket, index = first.partition("[")
+    nested = {ours: wire for wire, ours in _NESTED.get(name, {}).items()}
+    top = {ours: wire for wire, ours in _TOP.items()}
+    return ".".join([top.get(name, name) + bracket + index, *(nested.get(each, each) for each in rest)])
+
+
 def settings_from_wire(given: object) -> Settings:
     """Translate the settings object of the wire."""
     if not isinstance(given, Mapping):
--- a/magpiemux/balancer.py
+++ b/magpiemux/balancer.py
@@ -38,6 +38,7 @@
     ServiceClass,
     SetTimer,
     Settings,
+    SettingsChanged,
     TimerFired,
 )
 
@@ -244,12 +245,8 @@
     """The decisions of one instance.  Feed it events in order; carry out the actions it returns in order."""
 
     def __init__(self, settings: Settings, seed: int) -> None:
-        self._settings = settings
         self._random = random.Random(seed)
-        self._classes = {each.name: each for each in settings.classes}
-        self._tenants = {each.name: each for each in settings.tenants}
-        self._all_shares = sum(each.share for each in settings.tenants) or 1.0
-        self._longest_aim = max(each.aim_us for each in settings.classes)
+        self._obey(settings)
         self._now = 0
         self._actions: list[Action] = []
         self._servers: dict[str, Server] = {}  # those listed, and those left with an attempt still out
@@ -293,6 +290,28 @@
         self._sized_at = 0
         self._mix: dict[tuple[str, str | None], Mix] = {}
 
+    def _obey(self, settings: Settings) -> None:
+        self._settings = settings
+        self._classes = {each.name: each for each in settings.classes}
+        self._tenants = {each.name: each for each in settings.tenants}
+        self._all_shares = sum(each.share for each in settings.tenants) or 1.0
+        self._longest_aim = max(each.aim_us for each in settings.classes)
+
+    def _settings_changed(self, settings: Settings) -> None:
+        """Go by new settings; what was learnt of servers stays, and of classes that are still there."""
+        self._obey(settings)
+        self._bearable_at = self._remote_at = -1
+        for rate in (self._arrivals, self._served_warm):
+            rate.over(RATE_SPANS * settings.rules.fall_us)
+        self._mix = {key: each for key, each in self._mix.items() if key[0] in self._classes}
+        for (name, _), each in self._mix.items():
+            each.kind = self._classes[name]
+            each.rate.over(MIX_AIMS * self._longest_aim)
+        self._norms = {key: usual for key, usual in self._norms.items() if key[0] in self._classes}
+        self._mean_cost = {name: mean for name, mean in self._mean_cost.items() if name in self._classes}
+        for server in self._servers.values():
+            server.shy = {name: shy for name, shy in server.shy.items() if name in self._classes}
+
     def handle(self, now: int, event: Event) -> list[Action]:
         """Take one event at clock time `now`; return what to do, in order."""
         self._now = now
@@ -314,6 +333,8 @@
                 self._request_gone(event)
             case AnswerStarted():
                 self._answer_started(event)
+            case SettingsChanged():
+                self._settings_changed(event.settings)
             case _:
                 pass  # probes and messages: none are sent, so none are awaited
         self._arm_timer()
--- a/magpiemux/interface.py
+++ b/magpiemux/interface.py
@@ -504,8 +504,16 @@
     payload: bytes
 
 
+@dataclass(slots=True)
+class SettingsChanged:
+    """New settings are in force from now on; requests under way keep the class that they arrived with."""
+
+    settings: Settings
+
+
 Event = (
     ServersListed
+    | SettingsChanged
     | RequestArrived
     | AnswerStarted
     | AttemptEnded
--- a/micadeck/__main__.py
+++ b/micadeck/__main__.py
@@ -48,9 +48,9 @@
 
 
 def reload(sidecar: Sidecar, log: LineLog) -> None:
-    """Read the configuration anew; one that can't be used leaves the old one in force."""
+    """Read the configuration anew, the whole of it; one that can't be used leaves the old one in force."""
     try:
-        config = load(os.environ)
+        config = load(os.environ, sidecar.config)
     except ConfigError as fault:
         sidecar.telemetry.config_reload_errors += 1
         log(f"reload: the old configuration stays in force: {fault}".replace("\n", " "))
--- a/micadeck/config.py
+++ b/micadeck/config.py
@@ -4,12 +4,12 @@
 
 import json
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
 
 from magpiemux import Settings
-from magpiemux.adapter import settings_from_wire
+from magpiemux.adapter import settings_from_wire, wire_path
 from micadeck.client import Address, parse_address
 from micadeck.discovery import Listing, parse_listing
 
@@ -37,34 +37,81 @@
     peer_listen: Address | None
     peers: tuple[Address, ...]
     peers_all: Address | None
+    file: Mapping[str, Any] = field(default_factory=dict, compare=False, repr=False)  # as it was read
 
 
-def load(environ: Mapping[str, str]) -> Config:
-    """Read the file that `BALANCER_CONFIG` names; raise ConfigError on nonsense."""
+def load(environ: Mapping[str, str], before: Config | None = None) -> Config:
+    """Read the file that `BALANCER_CONFIG` names; raise ConfigError on nonsense.
+
+    Where a configuration is in force already, every key of its file must be in this one too: what is missing
+    was cut off or forgotten, and neither the default nor the old value may hide that.
+    """
     path = environ.get("BALANCER_CONFIG")
     if not path:
         raise ConfigError("BALANCER_CONFIG: the path of the configuration is needed")
     try:
-        given = json.loads(Path(path).read_bytes())
+        given = json.loads(
+            Path(path).read_bytes(), parse_constant=_no_number, object_pairs_hook=_without_doubles
+        )
+    except ConfigError:
+        raise
     except (OSError, ValueError, RecursionError) as fault:
         raise ConfigError(f"BALANCER_CONFIG: {path} can't be read: {fault}") from None
     if not isinstance(given, dict):
         raise ConfigError("BALANCER_CONFIG: the file must hold an object")
+    if before is not None:
+        _no_key_missing(given, before.file, "")
     from_environment = {
         key: environ[f"BALANCER_{key.upper()}"]
         for key in ("name", "listen", "discovery", "control")
         if f"BALANCER_{key.upper()}" in environ
     }
-    return parse({**from_environment, **given})
-
-
-def parse(given: Mapping[str, Any]) -> Config:
+    return parse({**from_environment, **given}, given)
+
+
+def _no_number(text: str) -> None:
+    raise ConfigError(f"BALANCER_CONFIG: {text} is no number that can be used")
+
+
+def _without_doubles(pairs: list[tuple[str, Any]]) -> dict[str, Any]:
+    given = dict(pairs)
+    if len(given) < len(pairs):
+        names = [name for name, _ in pairs]
+        twice = next(name for name in names if names.count(name) > 1)
+        raise ConfigError(f"{twice}: the key stands twice in one object")
+    return given
+
+
+def _no_key_missing(given: object, before: object, path: str) -> None:
+    if isinstance(before, Mapping):
+        if not isinstance(given, Mapping):
+            raise ConfigError(f"{path}: an object is needed")
+        for key, value in before.items():
+            name = f"{path}.{key}" if path else key
+            if value is None:
+                continue
+            if given.get(key) is None:
+                raise ConfigError(f"{name}: the key is missing; the file in force has it")
+            if name != "known":  # an old list says nothing of a new one
+                _no_key_missing(given[key], value, name)
+    elif isinstance(before, list) and isinstance(given, list):
+        objects = [each for each in before if isinstance(each, Mapping)]
+        common = {key: ... for key in objects[0] if all(key in each for each in objects)} if objects else None
+        for index, each in enumerate(given):
+            if common is not None:
+                _no_key_missing(each, common, f"{path}[{index}]")
+
+
+def parse(given: Mapping[str, Any], file: Mapping[str, Any] | None = None) -> Config:
     """Check a configuration; raise ConfigError, naming the key, on nonsense."""
     try:
         settings = settings_from_wire(given.get("settings"))
     except ValueError as nonsense:
-        text = str(nonsense)
-        raise ConfigError(text if text.startswith("settings") else f"settings.{text}") from None
+        path, colon, text = str(nonsense).partition(":")
+        known_as = path if path.startswith("settings") else f"settings.{wire_path(path)}"
+        raise ConfigError(known_as + colon + text) from None
+    if settings.limits.max_attempts < 1:
+        raise ConfigError("settings.bounds.sendCap: a number of attempts above 0 is needed")
     known = given.get("known")
     try:
         listing = parse_listing(known) if known is not None else Listing(0, True, ())
@@ -86,6 +133,7 @@
         peer_listen=_optional_address("peer_listen", given.get("peer_listen")),
         peers=tuple(_address(f"peers[{index}]", each) for index, each in enumerate(peers)),
         peers_all=_optional_address("peers_all", given.get("peers_all")),
+        file=file or {},
     )
 
 
--- a/micadeck/frontend.py
+++ b/micadeck/frontend.py
@@ -11,7 +11,7 @@
 from itertools import chain, islice
 from typing import cast
 
-from magpiemux.interface import Settings
+from magpiemux.interface import ServiceClass, Settings
 from micadeck.http1 import CONTINUE, Headers, Request, RequestReader, Response
 from micadeck.incoming import BadRequest, Incoming, read_request
 from micadeck.lifecycle import Lifecycle
@@ -20,6 +20,7 @@
 MOST_BODY = 64 << 10
 _READ_AT_ONCE = 8 << 10
 _HEALTH = b"/_health"
+_CLASS_FADES_S = 2.0  # how long a class that the settings no longer name is taken: requests are on their way
 
 
 @dataclass(frozen=True, slots=True)
@@ -262,6 +263,20 @@
         assert self._acceptor is not None
         return self._acceptor.port
 
+    def obey(self, settings: Settings) -> None:
+        """Read requests by these settings from now on."""
+        now = {each.name: each for each in settings.classes}
+        gone = {name: kind for name, kind in self._classes.items() if name not in now}
+        self._settings, self._classes = settings, {**gone, **now}
+        if gone:
+            asyncio.get_running_loop().call_later(_CLASS_FADES_S, self._forget, gone)
+
+    def _forget(self, gone: dict[str, ServiceClass]) -> None:
+        """Take these classes no longer, unless they were named again meanwhile."""
+        for name, kind in gone.items():
+            if self._classes.get(name) is kind:
+                del self._classes[name]
+
     def read(self, request: Request) -> Incoming:
         return read_request(request, self._settings, self._classes)
 
--- a/micadeck/sidecar.py
+++ b/micadeck/sidecar.py
@@ -12,7 +12,7 @@
 from collections.abc import Callable, Mapping, Sequence
 from dataclasses import replace
 
-from magpiemux import Balancer
+from magpiemux import Balancer, Settings
 from magpiemux.interface import (
     Action,
     AttemptEnded,
@@ -36,6 +36,7 @@
     Send,
     ServersListed,
     SetTimer,
+    SettingsChanged,
     Tell,
     TimerFired,
 )
@@ -56,7 +57,8 @@
 _RESERVED = 48  # descriptors for everything but clients and servers
 _FOR_CLIENTS = 0.5  # of the rest
 _REQUESTS_OF_MEMORY = (1 << 20) // 8  # for each MB of the limit: what unanswered requests may take of it
-_ONLY_AT_START = ("name", "listen", "control", "peer_listen", "seed", "settings", "memory_mb")
+_ONLY_AT_START = ("name", "listen", "control", "peer_listen", "seed", "memory_mb")
+_SETTINGS_ONLY_AT_START = ("discovery", "me")
 _PROBE_WITHIN_US = 1_000_000
 _SHARED = 0.5  # of what servers' connections may take, while a second process of this sidecar may run
 _SHARED_FOR_S = 5.0  # from a new version's yes: the longest time in which the old one may still be there
@@ -90,7 +92,7 @@
     def __init__(
         self, config: Config, log: Callable[[str], None], client_limits: ClientLimits | None = None
     ) -> None:
-        self._config = config
+        self.config = config
         self._log = log
         self._settings = config.settings
         self._clock = Clock()
@@ -127,16 +129,16 @@
     async def start(self, inherited: socket.socket | None = None) -> None:
         """Take up the last known list, and listen: on an inherited socket only once there is a fresh one."""
         self._is_inherited = self._shares_room = inherited is not None
-        if self._settings.limits.may_message and self._config.peer_listen is not None:
-            await self._peers.listen(self._config.peer_listen)
-        self._upstream.listed(self._config.known)
-        self._post(self._config.known.event(ListKind.REMEMBERED))
+        if self._settings.limits.may_message and self.config.peer_listen is not None:
+            await self._peers.listen(self.config.peer_listen)
+        self._upstream.listed(self.config.known)
+        self._post(self.config.known.event(ListKind.REMEMBERED))
         self._discovery.start()
         if inherited is None:
-            self.frontend.listen(bind(self._config.listen))
+            self.frontend.listen(bind(self.config.listen))
             await self._freshly_listed(_FRESH_WITHIN_S)
         else:
-            self._divide_descriptors(self._config.sockets)
+            self._divide_descriptors(self.config.sockets)
             await self._freshly_listed(_FRESH_WITHIN_TAKEOVER_S)
             self.frontend.listen(inherited)
             asyncio.get_running_loop().call_later(_SHARED_FOR_S, self._alone)
@@ -153,7 +155,7 @@
         """The version before has ended by now."""
         if self.lifecycle.phase is not Phase.STOPPING:
             self._shares_room = False
-            self._divide_descriptors(self._config.sockets)
+            self._divide_descriptors(self.config.sockets)
 
     @property
     def open_requests(self) -> int:
@@ -190,16 +192,33 @@
 
     def reload(self, config: Config) -> None:
         """Take over what a new configuration may change in a running sidecar; name what it may not."""
-        before, self._config = self._config, config
+        before = self.config
+        kept = [key for key in _ONLY_AT_START if getattr(config, key) != getattr(before, key)]
+        settings = config.settings
+        fixed = [
+            key for key in _SETTINGS_ONLY_AT_START if getattr(settings, key) != getattr(self._settings, key)
+        ]
+        settings = replace(settings, **{key: getattr(self._settings, key) for key in fixed})
+        self.config = replace(config, settings=settings, **{key: getattr(before, key) for key in kept})
         if config.discovery != before.discovery:
             self._discovery.move(config.discovery)
         self._peers.rename(config.peers, config.peers_all)
         self._divide_descriptors(config.sockets)
-        kept = [key for key in _ONLY_AT_START if getattr(config, key) != getattr(before, key)]
-        self._config = replace(config, **{key: getattr(before, key) for key in kept})
+        self._obey(settings)
+        kept += [f"settings.{key}" for key in fixed]
         waits = f"; only a restart takes up {', '.join(kept)}" if kept else ""
         self._log(f"reloaded: discovery at {config.discovery[0]}:{config.discovery[1]}{waits}")
 
+    def _obey(self, settings: Settings) -> None:
+        """Everything that keeps settings takes new ones here, all in one go."""
+        if settings == self._settings:
+            return
+        self._settings = settings
+        self.telemetry.show(each.name for each in settings.classes)
+        self._upstream.obey(settings.limits)
+        self.frontend.obey(settings)
+        self._post(SettingsChanged(settings))
+
     def _divide_descriptors(self, sockets: int) -> None:
         room = sockets - _RESERVED
         self.frontend.most = int(room * _FOR_CLIENTS)
@@ -229,7 +248,7 @@
         """
         self.frontend.stop_listening()
         self._shares_room = True
-        self._divide_descriptors(self._config.sockets)
+        self._divide_descriptors(self.config.sockets)
         self._upstream.close_all_idle()
         while self.frontend.open_connections and asyncio.get_running_loop().time() < until:
             await asyncio.sleep(0.01)
--- a/micadeck/upstream.py
+++ b/micadeck/upstream.py
@@ -68,8 +68,7 @@
 
     def __init__(self, clock: Clock, limits: Limits) -> None:
         self._clock = clock
-        self._dial_within_s = limits.dial_timeout_us / 1e6
-        self._use_within_us = int(limits.idle_close_us * (1.0 - _IDLE_MARGIN))
+        self.obey(limits)
         self.most = 0  # connections; set by whoever knows how many descriptors there are
         self._servers: dict[str, _Server] = {}
         self._owners: dict[ClientConnection, _Server] = {}  # of every open connection
@@ -77,6 +76,11 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self._sweep: asyncio.TimerHandle | None = None
 
+    def obey(self, limits: Limits) -> None:
+        """Go by these limits from now on."""
+        self._dial_within_s = limits.dial_timeout_us / 1e6
+        self._use_within_us = int(limits.idle_close_us * (1.0 - _IDLE_MARGIN))
+
     # The list
 
     def listed(self, listing: Listing) -> None:
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -293,7 +293,7 @@
         **(given or {}),
     }
     log: list[str] = []
-    sidecar = Sidecar(parse(config), log.append, client_limits)
+    sidecar = Sidecar(parse(config, config), log.append, client_limits)
     if started:
         await sidecar.start()
     scene = Stage(sidecar, discovery, servers, log)
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -47,10 +47,10 @@
         ({**GOOD, "peers": ["nowhere"]}, "peers[0]"),
         ({**GOOD, "peer_listen": "x"}, "peer_listen"),
         (_without("settings"), "settings"),
-        ({**GOOD, "settings": {"lanes": []}}, "settings.classes"),
+        ({**GOOD, "settings": {"lanes": []}}, "settings.lanes"),
         (
             {**GOOD, "settings": {"lanes": CLASSES, "bounds": {"sendCap": "x"}}},
-            "settings.limits.max_attempts",
+            "settings.bounds.sendCap",
         ),
     ],
     ids=str,
--- /dev/null
+++ b/tests/test_reload.py
@@ -0,0 +1,240 @@
+"""New settings at SIGHUP: the whole file is checked, then it is taken at once, or nothing changes."""
+
+from __future__ import annotations
+
+import asyncio
+import copy
+import json
+import signal
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Any
+
+import pytest
+from helpers import SAFE, Stage, names, settings
+from loopback import CLASSES, OK, Heard, play, request, soon, stage, until
+from running import GOOD, program
+
+from magpiemux.interface import Outcome, SettingsChanged
+from micadeck.config import Config, ConfigError, load, parse
+
+FULL: dict[str, Any] = {
+    **GOOD,
+    "settings": {
+        **GOOD["settings"],
+        "lanes": [{"worth": 1.0, "lateValue": 0.0, "streaming": False, **each} for each in CLASSES],
+        "bounds": {"sendCap": 3, "maxOpen": 100, "dialTimeoutUs": 250_000, "retryAfter": True},
+        "guarantees": {"coldFrom": 0.2, "coldUs": 10_000_000},
+        "realms": [{"name": "acme", "portion": 1.0, "quotaRps": 5.0}],
+    },
+}
+
+
+def read(text: str, folder: Path, before: Config | None) -> Config:
+    path = folder / "config.json"
+    path.write_text(text)
+    return load({"BALANCER_CONFIG": str(path)}, before)
+
+
+def key_paths(given: Any, path: tuple[str | int, ...] = ()) -> Iterator[tuple[str | int, ...]]:
+    items = enumerate(given) if isinstance(given, list) else given.items()
+    for key, value in items:
+        if isinstance(key, str):
+            yield (*path, key)
+        if isinstance(value, (dict, list)) and key != "known" and value and isinstance(value, (dict, list)):
+            if isinstance(value, dict) or isinstance(value[0], dict):
+                yield from key_paths(value, (*path, key))
+
+
+def _common(path: tuple[str | int, ...]) -> bool:
+    """Whether all classes have the key; what only some have, others may leave out."""
+    return not (len(path) == 4 and path[1] == "lanes") or all(
+        path[3] in each for each in FULL["settings"]["lanes"]
+    )
+
+
+@pytest.mark.parametrize("path", [each for each in key_paths(FULL) if _common(each)], ids=str)
+def test_a_file_that_lacks_a_key_of_the_one_in_force_is_turned_down(
+    path: tuple[str | int, ...], tmp_path: Path
+) -> None:
+    # Guards against a default, or the environment, that hides what was cut off.
+    before = read(json.dumps(FULL), tmp_path, None)
+    for value in (..., None):
+        given = copy.deepcopy(FULL)
+        at: Any = given
+        for key in path[:-1]:
+            at = at[key]
+        if value is None:
+            at[path[-1]] = None
+        else:
+            del at[path[-1]]
+        with pytest.raises(ConfigError) as complaint:
+            read(json.dumps(given), tmp_path, before)
+        assert "".join(f"[{key}]" if type(key) is int else f".{key}" for key in path)[1:] in str(
+            complaint.value
+        )
+
+
+@pytest.mark.parametrize(
+    "text", ["", " ", "{", "[]", "null", "7", json.dumps(FULL)[:-1], json.dumps(FULL)[:200]]
+)
+def test_a_file_that_is_empty_or_cut_short_is_turned_down(text: str, tmp_path: Path) -> None:
+    before = read(json.dumps(FULL), tmp_path, None)
+    with pytest.raises(ConfigError, match=r"^BALANCER_CONFIG: "):
+        read(text, tmp_path, before)
+
+
+@pytest.mark.parametrize(
+    "value", ["NaN", "Infinity", "-Infinity", "1e999", "true", "0", "-5", '"3"', "[]", "null"]
+)
+@pytest.mark.parametrize("key", ["giveUpUs", "promiseUs", "sendCap"])
+def test_a_figure_that_is_no_number_above_0_is_turned_down(key: str, value: str, tmp_path: Path) -> None:
+    before = read(json.dumps(FULL), tmp_path, None)
+    given = copy.deepcopy(FULL)
+    at = given["settings"]["bounds"] if key == "sendCap" else given["settings"]["lanes"][1]
+    at[key] = "HERE"
+    for in_force in (before, None):  # at the start as well, but for a null, which counts as absent there
+        if value == "null" and in_force is None:
+            continue
+        with pytest.raises(ConfigError) as complaint:
+            read(json.dumps(given).replace('"HERE"', value), tmp_path, in_force)
+        assert key in str(complaint.value) or str(complaint.value).startswith("BALANCER_CONFIG: ")
+
+
+def test_a_key_that_stands_twice_is_turned_down(tmp_path: Path) -> None:
+    text = json.dumps(FULL)[:-1] + ', "seed": "1"}'
+    with pytest.raises(ConfigError, match=r"^seed: "):
+        read(text, tmp_path, None)
+
+
+def test_a_class_may_come_that_has_what_all_classes_have(tmp_path: Path) -> None:
+    before = read(json.dumps(FULL), tmp_path, None)
+    given = copy.deepcopy(FULL)
+    given["settings"]["lanes"] = [{**FULL["settings"]["lanes"][0], "name": "new"}]
+    assert [each.name for each in read(json.dumps(given), tmp_path, before).settings.classes] == ["new"]
+
+
+# The decisions
+
+
+def test_fewer_attempts_bind_every_later_send() -> None:
+    before = settings(limits={"max_attempts": 3})
+    stage = Stage(before)
+    stage.servers(names(5))
+    first, second = stage.request("look"), stage.request("look")
+    stage.end(first, Outcome.ERROR)
+    assert len(stage.sends(first)) == 2
+    stage.play(SettingsChanged(settings(limits={"max_attempts": 2})))
+    stage.end(first, Outcome.ERROR)
+    assert len(stage.sends(first)) == 2  # it was allowed three when it came
+    stage.end(second, Outcome.ERROR)
+    assert len(stage.sends(second)) == 2
+
+
+def test_a_request_under_way_keeps_the_class_that_it_arrived_with() -> None:
+    stage = Stage()
+    stage.servers(names(5))
+    under_way = stage.request("look")
+    stage.play(SettingsChanged(settings(classes=[{**SAFE, "repeat": "unsafe"}])))
+    later = stage.request("look")
+    for each in (under_way, later):
+        stage.end(each, Outcome.ERROR)
+    assert len(stage.sends(under_way)) == 2
+    assert len(stage.sends(later)) == 1
+
+
+def test_nothing_is_kept_of_classes_that_vanish() -> None:
+    stage = Stage()
+    stage.servers(names(5))
+    for round_ in range(20):
+        name = f"look-{round_}"
+        stage.play(SettingsChanged(settings(classes=[{**SAFE, "name": name}])))
+        stage.serve(5, name=name)
+        request = stage.request(name)
+        if stage.sends(request):  # full answers make it refuse some, sooner or later
+            stage.end(request, Outcome.FULL)
+    balancer = stage.balancer
+    kept = [kind for kind, _ in balancer._mix] + [kind for kind, _ in balancer._norms]
+    kept += [kind for server in balancer._servers.values() for kind in server.shy]
+    assert set(kept) <= {"look-19"}
+
+
+# The sidecar
+
+
+def changed(config: Config, **what: Any) -> Config:
+    given = copy.deepcopy(dict(config.file))
+    given["settings"].update(what)
+    return parse(given, given)
+
+
+def test_everything_that_keeps_settings_takes_new_ones(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr("micadeck.frontend._CLASS_FADES_S", 0.05)
+
+    async def work() -> None:
+        release = asyncio.Event()
+
+        async def hold(heard: Heard) -> bytes:
+            await release.wait()
+            return OK
+
+        async with stage(hold) as scene:
+            sidecar = scene.sidecar
+            client = await scene.client()
+            client.send(request("check"))
+            await until(lambda: len(scene.heard) == 1)
+            new = {**CLASSES[0], "name": "new", "giveUpUs": 1_000_000}
+            bounds = {"sendCap": 1, "maxOpen": 1, "dialTimeoutUs": 123_000, "idleCloseUs": 1_000_000}
+            sidecar.reload(changed(sidecar.config, lanes=[new], bounds=bounds))
+            shown = sidecar.calls()["telemetry"]()
+            assert "app.downstream_requests.new.rejected=0" in shown
+            assert (await scene.ask("new")).status == 503  # one may be open, and one is
+            release.set()
+            assert (await client.answer()).status == 200
+            assert (await scene.ask("new", timeout="9")).status == 200
+            assert float(scene.heard[-1].headers["request-timeout"]) <= 1.0
+            assert sidecar._upstream._dial_within_s == 0.123
+            await asyncio.sleep(0.1)
+            assert (await scene.ask("check")).status == 400  # it vanished, and has faded
+            assert "app.downstream_requests.check.completed=1" in sidecar.calls()["telemetry"]()
+
+    play(work)
+
+
+def test_a_request_of_a_class_that_vanished_just_now_is_still_taken() -> None:
+    # Guards against failing what was on its way when the file changed.
+    async def work() -> None:
+        async with stage(OK) as scene:
+            scene.sidecar.reload(changed(scene.sidecar.config, lanes=[{**CLASSES[0], "name": "new"}]))
+            assert [(await scene.ask(kind)).status for kind in ("check", "new")] == [200, 200]
+
+    play(work)
+
+
+def test_a_started_program_takes_good_files_and_turns_down_bad_ones(tmp_path: Path) -> None:
+    async def work() -> None:
+        async with program(OK, tmp_path) as running:
+            good = json.loads(running.config.read_text())
+
+            async def hup(text: str) -> str:
+                running.config.write_text(text)
+                running.process.send_signal(signal.SIGHUP)
+                return await running.says()
+
+            bad = copy.deepcopy(good)
+            bad["settings"]["lanes"][0]["giveUpUs"] = 0
+            bad["discovery"] = "127.0.0.1:1"
+            said = await hup(json.dumps(bad))
+            assert said.startswith("reload: the old configuration stays in force: settings.lanes[0].giveUpUs")
+            del bad["discovery"]
+            assert "force: discovery: the key is missing" in await hup(json.dumps(bad))
+            good["settings"]["lanes"] = [{**CLASSES[0], "name": "new"}]
+            assert (await hup(json.dumps(good))).startswith("reloaded: ")
+            assert (await (await running.client()).ask("new")).status == 200
+            figures = await running.call("telemetry")
+            assert "app.config_reloads=1" in figures and "app.config_reload_errors=2" in figures
+            assert "app.downstream_requests.new.completed=1" in figures
+            running.process.send_signal(signal.SIGTERM)
+            assert await soon(running.process.wait()) == 0
+
+    play(work)
