Be ready at once on a plain start that knows servers; count due trials as available

The wait for a fresh list was the cause: discovery's line is long just then, and nobody else serves. members_unavailable was too high by one at times: an ejected server that is due for a trial gets requests.

--- a/magpiemux/balancer.py
+++ b/magpiemux/balancer.py
@@ -343,8 +343,12 @@
     def members(self) -> tuple[int, int]:
         """How many servers are listed, and how many of these get no ordinary request now."""
         listed = [each for each in self._servers.values() if each.state is not ServerState.GONE]
+        # One whose ejection has run out is due for a trial, and so not left out any more.
         avoided = [
-            each for each in listed if each.state is not ServerState.READY or each.ejected_until is not None
+            each
+            for each in listed
+            if each.state is not ServerState.READY
+            or (each.ejected_until is not None and self._now < each.ejected_until)
         ]
         return len(listed), len(avoided)
 
--- a/micadeck/sidecar.py
+++ b/micadeck/sidecar.py
@@ -62,7 +62,7 @@
 _PROBE_WITHIN_US = 1_000_000
 _SHARED = 0.5  # of what servers' connections may take, while a second process of this sidecar may run
 _SHARED_FOR_S = 5.0  # from a new version's yes: the longest time in which the old one may still be there
-_FRESH_WITHIN_S = 1.0  # how long a start waits for a fresh list before it goes by the known one
+_FRESH_WITHIN_S = 1.0  # how long a start that knows no server waits for a list
 _FRESH_WITHIN_TAKEOVER_S = 3.0  # and where the version before still serves meanwhile
 _NEW_FOR_S = 0.4  # how long after SIGTERM new connections may go on coming
 _QUIET_S = 0.05  # and how long none must have come before the listener closes
@@ -127,7 +127,11 @@
         )
 
     async def start(self, inherited: socket.socket | None = None) -> None:
-        """Take up the last known list, and listen: on an inherited socket only once there is a fresh one."""
+        """Take up the last known list, and listen: on an inherited socket only once there is a fresh one.
+
+        A fresh list is worth a wait where the version before serves meanwhile.  Where nobody does, the known
+        one is good enough, and a release that kills most sidecars at once leaves discovery with a long line.
+        """
         self._is_inherited = self._shares_room = inherited is not None
         if self._settings.limits.may_message and self.config.peer_listen is not None:
             await self._peers.listen(self.config.peer_listen)
@@ -136,7 +140,8 @@
         self._discovery.start()
         if inherited is None:
             self.frontend.listen(bind(self.config.listen))
-            await self._freshly_listed(_FRESH_WITHIN_S)
+            if not self.config.known.entries:  # else its clients need not wait, and nobody else serves them
+                await self._freshly_listed(_FRESH_WITHIN_S)
         else:
             self._divide_descriptors(self.config.sockets)
             await self._freshly_listed(_FRESH_WITHIN_TAKEOVER_S)
