--- a/magpiemux/balancer.py
+++ b/magpiemux/balancer.py
@@ -14,6 +14,7 @@
 import random
 
 from magpiemux.interface import (
+    NEVER,
     Action,
     AnswerStarted,
     AttemptEnded,
@@ -32,6 +33,7 @@
     Repeat,
     RequestArrived,
     RequestGone,
+    RequestWhole,
     Send,
     ServersListed,
     ServerState,
@@ -185,6 +187,7 @@
 
     __slots__ = (
         "answers_before",
+        "begun",
         "felt",
         "greets",
         "idled",
@@ -203,6 +206,7 @@
         self.server = server
         self.sent_at = sent_at
         self.pending = True
+        self.begun = False  # whether it counts as in flight; a body that still comes is no work for a server
         self.may_have_run = True  # until an outcome proves that it did not
         self.started = False
         self.idled = 0  # how long its connection had gone unused; 0: it was new or in steady use
@@ -219,12 +223,24 @@
 class Request:
     """A request taken; it is kept until it is answered and its last attempt has ended."""
 
-    __slots__ = ("answer_by", "answered", "attempts", "cost", "ident", "kind", "said_full", "size", "tried")
+    __slots__ = (
+        "answer_by",
+        "answered",
+        "attempts",
+        "coming",
+        "cost",
+        "ident",
+        "kind",
+        "said_full",
+        "size",
+        "tried",
+    )
 
-    def __init__(self, ident: int, kind: ServiceClass, answer_by: int, cost: float) -> None:
+    def __init__(self, ident: int, kind: ServiceClass, cost: float) -> None:
         self.ident = ident
+        self.answer_by = NEVER
+        self.coming = True  # whether its last byte has not come yet, so that its time does not run
         self.kind = kind
-        self.answer_by = answer_by
         self.cost = cost  # relative to the mean of its class
         self.size = max(-3, min(math.frexp(cost)[1], 4))  # cost by powers of two
         self.attempts: list[Attempt] = []
@@ -331,6 +347,8 @@
                 self._servers_listed(event)
             case RequestGone():
                 self._request_gone(event)
+            case RequestWhole():
+                self._request_whole(event)
             case AnswerStarted():
                 self._answer_started(event)
             case SettingsChanged():
@@ -457,15 +475,31 @@
             kind = ServiceClass(event.service_class, max(event.remaining_us, 1), max(event.remaining_us, 1))
         self._arrivals.add(self._now, 1.0)
         self._extra = min(self._extra + EXTRA_PER_REQUEST, EXTRA_PER_REQUEST * EXTRA_SAVED)
-        answer_by = self._now + event.remaining_us - TICKS_EARLY * self._settings.tick_us
-        request = Request(event.request, kind, answer_by, self._relative_cost(kind, event.cost_us))
+        request = Request(event.request, kind, self._relative_cost(kind, event.cost_us))
         self._requests[event.request] = request
-        self._schedule(answer_by, event.request, _WHOLE)
+        if not event.coming:
+            self._begin_time(request, event.remaining_us)
         if self._overloaded_for(kind, event.tenant):
             self._finish(request)
         else:
             self._place(request)
 
+    def _begin_time(self, request: Request, remaining_us: int) -> None:
+        request.coming = False
+        request.answer_by = self._now + remaining_us - TICKS_EARLY * self._settings.tick_us
+        self._schedule(request.answer_by, request.ident, _WHOLE)
+
+    def _request_whole(self, event: RequestWhole) -> None:
+        """The attempt that its body was passed on to begins now, for its server and for our patience."""
+        request = self._requests.get(event.request)
+        if request is None or request.answered or not request.coming:
+            return
+        self._begin_time(request, event.remaining_us)
+        for attempt in request.attempts:
+            if attempt.pending:
+                attempt.sent_at, attempt.answers_before = self._now, self._answers
+                self._begin_attempt(request, attempt)
+
     def _relative_cost(self, kind: ServiceClass, cost_us: int | None) -> float:
         if not cost_us or cost_us < 0:
             return 1.0
@@ -788,16 +822,24 @@
         attempt = Attempt(len(request.attempts), server, self._now, self._answers)
         attempt.idled = self._idle_time(server)
         request.attempts.append(attempt)
+        if server.ejected_until is not None:
+            server.trial = attempt
+        if not request.coming:
+            self._begin_attempt(request, attempt)
+        self._actions.append(Send(request.ident, server.name, request.answer_by))
+        return True
+
+    def _begin_attempt(self, request: Request, attempt: Attempt) -> None:
+        """From here on it is in flight: its server has all of it, or will in a moment."""
+        server = attempt.server
+        attempt.begun = True
         server.in_flight += 1
         attempt.greets = server.in_flight > server.lines
         server.lines = max(server.lines, server.in_flight)
         self._pending += 1
         if server.ejected_until is not None:
-            server.trial = attempt
             self._stuck += 1
         self._schedule(self._now + self._patience(request, attempt), request.ident, attempt.index)
-        self._actions.append(Send(request.ident, server.name, request.answer_by))
-        return True
 
     def _may_run_again(self, request: Request) -> bool:
         """Whether the request's class lets another attempt out now."""
@@ -872,18 +914,20 @@
             return
         attempt.pending = False
         attempt.may_have_run = not self._settings.rules.never_ran(event.outcome)
-        attempt.server.in_flight -= 1
-        self._pending -= 1
+        if attempt.begun:
+            attempt.server.in_flight -= 1
+            self._pending -= 1
+            if attempt.server.ejected_until is not None:
+                self._stuck -= 1
         if event.outcome not in (Outcome.DELIVERED, Outcome.FULL, Outcome.REJECTED):
             attempt.server.lines = max(attempt.server.lines - 1, attempt.server.in_flight)
-        if attempt.server.ejected_until is not None:
-            self._stuck -= 1
         self._close_if_leaving(attempt.server)
-        given_up = event.outcome is Outcome.CANCELLED and event.elapsed_us >= request.kind.aim_us
+        waited = attempt.begun and event.outcome in (Outcome.EXPIRED, Outcome.CANCELLED)
+        given_up = waited and event.elapsed_us >= request.kind.aim_us
         self._judge(attempt, Outcome.EXPIRED if given_up else event.outcome)
         if event.report and "util" in event.report:
             self._follow_cores(min(max(event.report["util"], 0.0), 1.0))
-        if event.outcome in (Outcome.EXPIRED, Outcome.CANCELLED):
+        if waited:
             until = self._now + int(GHOST_LIFE * event.elapsed_us)
             attempt.server.ghosts.append(until)
             if attempt.server.ejected_until is None:
@@ -916,7 +960,7 @@
             request.tried.append(attempt.server)
             full = event.outcome is Outcome.FULL
             request.said_full += full
-            if self._may_run_again(request) and (full or self._extra >= 1.0):
+            if event.again and self._may_run_again(request) and (full or self._extra >= 1.0):
                 self._extra -= 0.0 if full else 1.0  # a redraw on full is the design's own, not a retry
                 self._place(request)
             elif not request.is_out():
--- a/magpiemux/interface.py
+++ b/magpiemux/interface.py
@@ -447,6 +447,15 @@
     cost_us: int | None = None  # a hint of the work, where the client gave one
     client_retry: bool = False
     write: bool = False
+    coming: bool = False  # its body still comes, so its time has not begun: RequestWhole follows
+
+
+@dataclass(slots=True)
+class RequestWhole:
+    """The last byte of a request that was still coming is there: its time runs, and servers may begin it."""
+
+    request: int
+    remaining_us: int
 
 
 @dataclass(slots=True)
@@ -470,6 +479,7 @@
     elapsed_us: int
     answered: bool
     report: Mapping[str, float] | None = None
+    again: bool = True  # whether the request can be written once more; what was not kept of it can't
 
 
 @dataclass(slots=True)
@@ -515,6 +525,7 @@
     ServersListed
     | SettingsChanged
     | RequestArrived
+    | RequestWhole
     | AnswerStarted
     | AttemptEnded
     | RequestGone
@@ -526,6 +537,8 @@
 # ---------------------------------------------------------------------------------------------------
 # Actions
 
+NEVER = 2**62  # a clock time that does not come
+
 
 @dataclass(slots=True)
 class Send:
@@ -533,7 +546,7 @@
 
     request: int
     server: str
-    until: int  # clock time at which the attempt is abandoned
+    until: int  # clock time at which the attempt is abandoned; NEVER: the request's time has not begun
 
 
 @dataclass(slots=True)
--- a/micadeck/discovery.py
+++ b/micadeck/discovery.py
@@ -10,7 +10,7 @@
 
 from magpiemux.interface import ListedServer, ListKind, ServersListed, ServerState
 from micadeck.client import Address, ClientConnection, Failure, parse_address
-from micadeck.http1 import Request, Response
+from micadeck.http1 import Request, Response, ResponseReader
 
 _STATES = {"active": ServerState.READY, "leaving": ServerState.DRAINING, "left": ServerState.GONE}
 _PATH = "/catalog/members"
@@ -285,7 +285,7 @@
 
     async def _dial(self) -> ClientConnection:
         def made() -> ClientConnection:
-            return ClientConnection(_MOST_BYTES, _ignore, _ignore, _ANSWER_WITHIN_S)
+            return ClientConnection(ResponseReader(_MOST_BYTES), _ignore, _ignore, _ANSWER_WITHIN_S)
 
         async with asyncio.timeout(_DIAL_WITHIN_S):
             _, connection = await asyncio.get_running_loop().create_connection(made, *self._address)
--- a/micadeck/frontend.py
+++ b/micadeck/frontend.py
@@ -9,16 +9,16 @@
 from dataclasses import dataclass
 from enum import Enum, unique
 from itertools import chain, islice
-from typing import cast
+from typing import Protocol, cast
 
 from magpiemux.interface import ServiceClass, Settings
-from micadeck.http1 import CONTINUE, Headers, Request, RequestReader, Response
+from micadeck.http1 import CONTINUE, KEPT, LAST_CHUNK, Headers, Request, RequestReader, Response, chunk
 from micadeck.incoming import BadRequest, Incoming, read_request
 from micadeck.lifecycle import Lifecycle
 from micadeck.listener import Acceptor
 
-MOST_BODY = 64 << 10
-_READ_AT_ONCE = 8 << 10
+_READ_AT_ONCE = 32 << 10
+_WAITING = 32 << 10  # of a body that passes through, before its client has to wait for the server
 _HEALTH = b"/_health"
 _CLASS_FADES_S = 2.0  # how long a class that the settings no longer name is taken: requests are on their way
 
@@ -27,10 +27,13 @@
 class ClientLimits:
     """What one client may take of the sidecar; times in seconds."""
 
-    header_timeout_s: float = (
-        2.0  # from the connection, or the first byte of a further request, to its whole head
-    )
-    request_timeout_s: float = 2.6  # and to its last byte
+    # From the connection, or the first byte of a further request, to its whole head.
+    header_timeout_s: float = 2.7
+    # Time limits on bodies go by progress: without a byte for so long, or with too few in a longer while.
+    stall_s: float = 2.0
+    trickle_s: float = 4.0
+    least_in_trickle: int = 16 << 10
+    reading_s: float = 20.0  # with an answer to read, and without reading any of it
     idle_timeout_s: float = 5.0  # at rest after an answer
     leaving_s: float = 0.5  # at rest, or silent, while the sidecar is being emptied
     greeting_s: float = 0.25  # how long one that connected is spared before its silence counts against it
@@ -47,20 +50,35 @@
     SILENT = "silent"  # not a byte came yet
     RESTING = "resting"  # its requests are answered
     READING = "reading"  # a part of a request came
+    PASSING = "passing"  # a part of a request came, and passes through to a server
     SERVING = "serving"  # an answer is owed; never closed for room
 
 
+class Source(Protocol):
+    """Where an answer that passes through comes from."""
+
+    def pause(self) -> None: ...
+
+    def resume(self) -> None: ...
+
+
 class ClientSide(asyncio.BufferedProtocol):
     """One connection of the application, one request at a time."""
 
     def __init__(self, frontend: Frontend) -> None:
         self._frontend = frontend
-        self._reader = RequestReader(MOST_BODY)
+        self._reader = RequestReader()
         self._transport: asyncio.Transport | None = None
         self._poll = select.poll()
         self._request: Request | None = None  # the one at hand
         self._owed: int | None = None  # the open request
+        self._source: Source | None = None  # of the answer that passes through
+        self._answers_in_chunks = False
         self._is_writing_paused = False
+        self._is_reading_paused = False
+        self._progress_at = 0.0  # when a byte came last, or one more could be written
+        self._looked_at = 0.0  # when it was last looked at how much had come
+        self._came = 0  # bytes since then
         self.state = State.SILENT
         self.since = 0.0  # when it came to that state; for a part of a request, when that began
         self.held = 0  # bytes of the request at hand, and of what came behind it
@@ -80,33 +98,103 @@
         """Whether the head of the request at hand is whole."""
         return self._reader.has_head
 
+    def is_stuck(self, now: float, limits: ClientLimits) -> bool:
+        """Whether the client has stopped sending what it began, or sends next to nothing."""
+        if self._is_reading_paused:  # it is the server that takes nothing
+            self._progress_at = self._looked_at = now
+            self._came = 0
+            return False
+        if now - self._progress_at >= limits.stall_s:
+            return True
+        if now - self._looked_at < limits.trickle_s:
+            return False
+        too_little = self._came < limits.least_in_trickle
+        self._looked_at, self._came = now, 0
+        return too_little
+
+    def is_unread(self, now: float, limits: ClientLimits) -> bool:
+        """Whether the client has stopped reading its answer."""
+        return (
+            self._transport is not None
+            and self._transport.get_write_buffer_size() > 0
+            and now - self._progress_at >= limits.reading_s
+        )
+
     # What the sidecar calls
 
-    def answer(self, status: int, headers: Headers, body: bytes) -> None:
-        """Write the one answer to the open request."""
+    def answer(self, status: int, headers: Headers, body: bytes, length: int | None = None) -> None:
+        """Write the one answer to the open request; `length` is told where no body may follow."""
         self._owed = None
         if self._transport is None or self._transport.is_closing():
             return
-        request, self._request = self._request, None
+        request = self._request
+        if request is not None and not request.body.is_whole:
+            self._frontend.moved(self, State.ENDING)  # what still comes of it is nobody's
         turned_away = self.state is State.ENDING
-        is_last = request is not None and not request.keep_alive
-        closing = self._frontend.lifecycle.is_emptying or turned_away or is_last
+        closing = self._closes_after(request)
         if closing:
             headers = [*headers, (b"connection", b"close")]
         with_body = request is None or request.method != b"HEAD"
-        self._transport.write(Response(status, headers, body).encode(with_body=with_body))
+        self._transport.write(Response(status, headers, body, length).encode(with_body=with_body))
         if turned_away:
+            self._request = None
             self._hang_up()
-        elif closing:
-            self._transport.close()
         else:
-            self._frontend.moved(self, State.RESTING)
-            if self._reader.has_part or self._reader.requests or self._reader.fault is not None:
-                # Guards against waiting for data when the next request came in one piece with this one.
-                self._frontend.moved(self, State.READING)
-                asyncio.get_running_loop().call_soon(self._advance)
-            elif not self._is_writing_paused:
-                self._resume_reading()
+            self._answered(closing=closing)
+
+    def begin(self, status: int, headers: Headers, length: int | None, source: Source) -> None:
+        """Write the head of an answer that passes through; `pass_on` brings its body, `finish` its end."""
+        if self._transport is None or self._transport.is_closing():
+            return
+        self._source = source
+        request = self._request
+        self._answers_in_chunks = length is None and request is not None and request.knows_chunks
+        if length is None and request is not None and not request.knows_chunks:
+            request.keep_alive = False  # nothing else tells where its answer ends
+        if self._closes_after(request):
+            headers = [*headers, (b"connection", b"close")]
+        framing: Headers = []
+        if length is not None:
+            framing.append((b"content-length", b"%d" % length))
+        elif self._answers_in_chunks:
+            framing.append((b"transfer-encoding", b"chunked"))
+        self._transport.write(Response(status, headers).head(framing))
+
+    def pass_on(self, piece: bytes) -> None:
+        if self._transport is not None and not self._transport.is_closing():
+            self._progress_at = asyncio.get_running_loop().time()
+            self._transport.write(chunk(piece) if self._answers_in_chunks else piece)
+
+    def finish(self) -> None:
+        """The answer that passed through is whole."""
+        self._owed = self._source = None
+        if self._transport is None or self._transport.is_closing():
+            return
+        if self._answers_in_chunks:
+            self._transport.write(LAST_CHUNK)
+        self._answered(closing=self._closes_after(self._request))
+
+    def _closes_after(self, request: Request | None) -> bool:
+        return (
+            self._frontend.lifecycle.is_emptying
+            or self.state is State.ENDING
+            or (request is not None and not request.keep_alive)
+        )
+
+    def _answered(self, *, closing: bool) -> None:
+        """The request at hand has its answer: go on to the next, or close."""
+        assert self._transport is not None
+        self._request = None
+        if closing:
+            self._transport.close()
+            return
+        self._frontend.moved(self, State.RESTING)
+        if self._reader.has_part or self._reader.requests or self._reader.fault is not None:
+            # Guards against waiting for data when the next request came in one piece with this one.
+            self._frontend.moved(self, State.READING)
+            asyncio.get_running_loop().call_soon(self._advance)
+        elif not self._is_writing_paused:
+            self._resume_reading()
 
     def close(self) -> None:
         if self._transport is not None:
@@ -142,20 +230,36 @@
             return
         if self.state in (State.RESTING, State.SILENT):
             self._frontend.moved(self, State.READING)
+        self._progress_at = asyncio.get_running_loop().time()
+        self._came += nbytes
+        had_head = self._reader.has_head
         self._reader.feed(bytes(self._frontend.buffer[:nbytes]))
-        self._frontend.holds(self, nbytes)
+        if self._reader.has_head and not had_head:
+            self._looked_at, self._came = self._progress_at, 0
+        # What passes through is never held for long: it counts up to what is kept of it.
+        self._frontend.holds(self, min(nbytes, KEPT + _WAITING - self.held))
+        if self.state is State.PASSING:
+            self._pass_through()
         self._advance()
-        behind = self._reader.has_part or self._reader.requests or self._reader.fault is not None
-        if self._owed is not None and behind:
+        if self._owed is None or self.state is State.PASSING:
+            return
+        if self._reader.has_part or self._reader.requests or self._reader.fault is not None:
             # Guards against a client that sends on and on behind its open request: none of it is due yet.
             self._pause_reading()
 
     def pause_writing(self) -> None:
         self._is_writing_paused = True
-        self._pause_reading()
+        self._progress_at = asyncio.get_running_loop().time()
+        if self._source is not None:
+            self._source.pause()
+        elif self._owed is None:
+            self._pause_reading()
 
     def resume_writing(self) -> None:
         self._is_writing_paused = False
+        self._progress_at = asyncio.get_running_loop().time()
+        if self._source is not None:
+            self._source.resume()
         self._advance()
 
     def eof_received(self) -> None:
@@ -171,9 +275,27 @@
 
     def _gone(self) -> None:
         owed, self._owed = self._owed, None
+        self._source = None
         if owed is not None:
             self._frontend.gone(owed)
 
+    def _pass_through(self) -> None:
+        """See how the request stands whose body passes through."""
+        request = self._request
+        if request is None:
+            return
+        if self._reader.fault is not None:
+            self.give_up(self._reader.fault)
+        elif request.body.is_whole:
+            self._frontend.moved(self, State.SERVING)
+        elif request.body.waiting >= _WAITING:
+            self._pause_reading()
+
+    def give_up(self, status: int) -> None:
+        """Turn away a request of which a part has passed through: its rest can't be used, or is late."""
+        self._gone()
+        self.reject(status)
+
     def _advance(self) -> None:
         """Read on as far as what has come allows."""
         while (
@@ -196,22 +318,30 @@
                 return
 
     def _pause_reading(self) -> None:
+        self._is_reading_paused = True
         if self._transport is not None and not self._transport.is_closing():
             self._transport.pause_reading()
 
     def _resume_reading(self) -> None:
+        if self._is_reading_paused:
+            self._is_reading_paused = False
+            self._progress_at = self._looked_at = asyncio.get_running_loop().time()
+            self._came = 0
         if self._transport is not None and not self._transport.is_closing():
             self._transport.resume_reading()
 
     def _taken(self, request: Request) -> None:
         self._request = request
-        self._frontend.moved(self, State.SERVING)
+        self._frontend.moved(self, State.SERVING if request.body.is_whole else State.PASSING)
         if request.target == _HEALTH:
             phase = self._frontend.lifecycle.phase.value
             self.answer(200 if self._frontend.lifecycle.is_ready else 503, [], f"{phase}\n".encode())
             return
         try:
             self._owed = self._frontend.arrived(self, self._frontend.read(request))
+            if self._owed is not None and not request.body.is_whole:
+                request.body.on_taken = self._resume_reading
+                self._pass_through()
         except BadRequest as fault:
             self.reject(fault.status, str(fault))
 
@@ -331,10 +461,10 @@
         connection.held += more
         self._held += more
         while self._held > self._limits.most_bytes:
-            oldest = next(iter(self._by_state[State.READING]), None)
+            oldest = next(chain(self._by_state[State.READING], self._by_state[State.PASSING]), None)
             if oldest is None:
                 return
-            oldest.reject(503)
+            oldest.give_up(503)
 
     def closed(self, connection: ClientSide) -> None:
         self._by_state[connection.state].pop(connection, None)
@@ -379,16 +509,28 @@
         now, limits = asyncio.get_running_loop().time(), self._limits
         leaving_s = limits.leaving_s if self.lifecycle.is_emptying else limits.idle_timeout_s
         for each in list(self._by_state[State.SILENT]):
-            if now - each.since >= min(leaving_s, limits.header_timeout_s):
+            waited = now - each.since
+            if waited >= limits.header_timeout_s or (waited >= leaving_s and each.is_idle):
                 each.close()
         for each in list(self._by_state[State.READING]):
-            allowed = limits.request_timeout_s if each.has_head else limits.header_timeout_s
-            if now - each.since >= allowed:
+            late = now - each.since >= limits.header_timeout_s
+            if each.is_stuck(now, limits) if each.has_head else late:
                 each.reject(408)
-        resting_s = min(leaving_s, limits.idle_timeout_s)
-        for state, allowed in ((State.RESTING, resting_s), (State.ENDING, limits.linger_s)):
-            for each in list(self._by_state[state]):
-                if now - each.since < allowed:
-                    break  # they stand in the order in which they came to rest
-                each.close() if each.is_idle else each.cut()
+        for each in list(self._by_state[State.PASSING]):
+            if each.is_stuck(now, limits):
+                each.give_up(408)
+        for each in list(self._by_state[State.SERVING]):
+            if each.is_unread(now, limits):
+                each.cut()
+        for each in list(self._by_state[State.RESTING]):
+            if now - each.since < min(leaving_s, limits.idle_timeout_s):
+                break  # they stand in the order in which they came to rest
+            if each.is_idle:  # else its answer is still on the way, or a further request
+                each.close()
+            elif each.is_unread(now, limits):
+                each.cut()
+        for each in list(self._by_state[State.ENDING]):
+            if now - each.since < limits.linger_s:
+                break
+            each.cut()
         self._sweep_later()
--- a/micadeck/incoming.py
+++ b/micadeck/incoming.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass
 
 from magpiemux.interface import Repeat, ServiceClass, Settings
-from micadeck.http1 import Headers, Request
+from micadeck.http1 import Body, Headers, Request
 
 _REQUEST_ID = re.compile(rb"[!-~]{1,128}")
 _TIMEOUT = re.compile(rb"[0-9]{1,5}(\.[0-9]{0,9})?")
@@ -46,15 +46,14 @@
     method: bytes
     target: bytes
     headers: Headers  # as they go on to a server, but for the time that it has
-    body: bytes
+    body: Body
+    is_chunked: bool  # on its way to a server: its length is not known yet
 
     def message(self, left_us: int) -> Request:
         """The same request as a server gets it, when the sidecar will wait for so long."""
+        timeout = (b"request-timeout", b"%.3f" % (min(left_us, self.remaining_us) / 1e6))
         return Request(
-            self.method,
-            self.target,
-            [*self.headers, (b"request-timeout", b"%.3f" % (left_us / 1e6))],
-            self.body,
+            self.method, self.target, [*self.headers, timeout], self.body, is_chunked=self.is_chunked
         )
 
 
@@ -83,8 +82,8 @@
     remaining_us = round(float(timeout) * 1e6) if _TIMEOUT.fullmatch(timeout) else 0
     if remaining_us <= 0:
         raise BadRequest("request-timeout is nonsense")
-    is_get = request.method == b"GET"
-    if (request.method not in (b"GET", b"POST")) or is_get != (kind.repeat is Repeat.SAFE):
+    is_get = request.method in (b"GET", b"HEAD")
+    if (request.method not in (b"GET", b"HEAD", b"POST")) or is_get != (kind.repeat is Repeat.SAFE):
         raise BadRequest("the method is not that of the class")
     if (b"idempotency-key" in own) != (kind.repeat is Repeat.KEYED) or own.get(b"idempotency-key") == b"":
         raise BadRequest("idempotency-key does not go with the class")
@@ -93,8 +92,11 @@
     hint = own.get(b"work-hint")
     if hint is not None and not _HINT.fullmatch(hint):
         raise BadRequest("work-hint is nonsense")
-    if request.body or not is_get:
-        headers.append((b"content-length", b"%d" % len(request.body)))
+    length = request.body.size if request.body.is_whole else request.length
+    if length is None:
+        headers.append((b"transfer-encoding", b"chunked"))
+    elif length or not is_get:
+        headers.append((b"content-length", b"%d" % length))
     tenant = own.get(b"tenant", b"").decode("latin-1")
     return Incoming(
         service_class=kind.name,
@@ -109,6 +111,7 @@
         target=request.target,
         headers=headers,
         body=request.body,
+        is_chunked=length is None,
     )
 
 
--- a/micadeck/sidecar.py
+++ b/micadeck/sidecar.py
@@ -33,6 +33,7 @@
     ReportSource,
     RequestArrived,
     RequestGone,
+    RequestWhole,
     Send,
     ServersListed,
     SetTimer,
@@ -41,6 +42,7 @@
     TimerFired,
 )
 from micadeck import discovery
+from micadeck.client import ClientConnection, Sink
 from micadeck.clock import Clock
 from micadeck.config import Config
 from micadeck.control import Call as ControlCall
@@ -76,10 +78,13 @@
 class _Open:
     """A request that was taken: until it is answered and its attempts have ended."""
 
-    __slots__ = ("calls", "client", "incoming", "last_outcome", "out")
+    __slots__ = ("calls", "client", "incoming", "last_outcome", "out", "reading", "streamed", "whole_at")
 
     def __init__(self, client: ClientSide, incoming: Incoming) -> None:
-        self.client: ClientSide | None = client  # None: it has its answer, or left
+        self.client: ClientSide | None = client  # None: it has its answer, or the first part of it, or left
+        self.reading: ClientSide | None = None  # who an answer is being passed on to
+        self.streamed: int | None = None  # by which attempt
+        self.whole_at = 0  # when the last byte of a request came that had to pass through
         self.incoming = incoming
         self.calls: list[Call] = []
         self.out = 0
@@ -183,9 +188,16 @@
 
     def _figures(self) -> Sequence[str]:
         members, unavailable = self._balancer.members()
-        gauges = {"pending": len(self._owed), "members": members, "members_unavailable": unavailable}
+        gauges = {"pending": self._pending(), "members": members, "members_unavailable": unavailable}
         return ["", *self.telemetry.lines(gauges), "."]
 
+    def _pending(self) -> int:
+        """Requests that were taken and are not over for their clients; one is taken with its last byte."""
+        return sum(
+            each.incoming.body.is_whole and (each.client is not None or each.reading is not None)
+            for each in self._open.values()
+        )
+
     def _evacuate(self) -> Sequence[str]:
         self.lifecycle.evacuate()
         return [self.lifecycle.phase.value]
@@ -243,6 +255,9 @@
             await self._run_dry(began, began + left_s)
         for request in list(self._open):
             self._answer(request, 504, [])  # the decisions had no word on it in time
+            held = self._open.get(request)
+            if held is not None:
+                self._stream_ended(held, Outcome.CANCELLED)
         await asyncio.sleep(0)
         self.close()
 
@@ -326,6 +341,9 @@
         number = self._next_request
         self._next_request += 1
         self._open[number] = _Open(client, incoming)
+        coming = not incoming.body.is_whole
+        if coming:
+            incoming.body.on_whole = lambda: self._whole(number)
         self._owed.add(incoming.ident)
         self._post(
             RequestArrived(
@@ -336,12 +354,31 @@
                 remaining_us=incoming.remaining_us,
                 cost_us=incoming.cost_us,
                 client_retry=incoming.client_retry,
-                write=incoming.method != b"GET",
+                write=incoming.method == b"POST",
+                coming=coming,
             )
         )
         return number if not self._is_answered(number) else None
 
+    def _whole(self, request: int) -> None:
+        """The last byte of a request that passes through has come: its time begins."""
+        held = self._open.get(request)
+        if held is None or held.client is None:
+            return
+        held.whole_at = self._clock.now()
+        remaining_us = held.incoming.remaining_us
+        if self._stop_by is not None:
+            remaining_us = max(min(remaining_us, self._stop_by - held.whole_at), 1)
+        for call in held.calls:
+            self._upstream.limit(call, held.whole_at + remaining_us)
+        self._post(RequestWhole(request, remaining_us))
+
     def _gone(self, request: int) -> None:
+        held = self._open.get(request)
+        if held is not None and held.reading is not None and held.streamed is not None:
+            self._stream_over(held, Result.FAILED)
+            self._upstream.cancel(held.calls[held.streamed])
+            return
         self._settle(request)
         self._post(RequestGone(request))
         self._forget_if_over(request)
@@ -357,13 +394,71 @@
     ) -> None:
         held = self._open[request]
         held.out -= 1
+        if held.streamed == attempt:
+            self._stream_ended(held, outcome)  # the decisions heard of it when it began
+            self._forget_if_over(request)
+            return
         held.last_outcome = outcome
         if outcome is Outcome.DELIVERED and response is not None:
-            self._answer(request, 200, _passed_back(response), response.body)
+            self._answer(request, 200, _passed_back(response), response.body, response.length)
+        self._tell_end(held, request, attempt, server, sent_at, outcome, response)
+
+    def _tell_end(
+        self,
+        held: _Open,
+        request: int,
+        attempt: int,
+        server: str,
+        sent_at: int,
+        outcome: Outcome,
+        response: Response | None,
+    ) -> None:
         report = load_report(response, self._settings.report_columns)
-        elapsed = self._clock.now() - sent_at
+        elapsed = self._clock.now() - max(sent_at, held.whole_at)
+        again = held.incoming.body.is_repeatable
         # Whether it is answered is looked up when the event's turn comes.
-        self._post(AttemptEnded(request, attempt, server, outcome, elapsed, False, report))
+        self._post(AttemptEnded(request, attempt, server, outcome, elapsed, False, report, again))
+
+    # Answers that pass through
+
+    def _stream_began(
+        self,
+        request: int,
+        attempt: int,
+        server: str,
+        sent_at: int,
+        head: Response,
+        source: ClientConnection,
+    ) -> Sink | None:
+        """The first bytes of an answer are there that is too large to be kept: it passes on from now.
+
+        For the decisions it is delivered here: how fast the client reads says nothing of the server.
+        """
+        held = self._open[request]
+        client = self._settle(request)
+        if client is None:
+            return None
+        self._owed.add(held.incoming.ident)  # until its last byte
+        held.reading, held.streamed = client, attempt
+        client.begin(head.status, _passed_back(head), head.length, source)
+        self._tell_end(held, request, attempt, server, sent_at, Outcome.DELIVERED, head)
+        return client
+
+    def _stream_ended(self, held: _Open, outcome: Outcome) -> None:
+        client = held.reading
+        if client is None:
+            return  # it left meanwhile
+        whole = outcome is Outcome.DELIVERED
+        self._stream_over(held, Result.COMPLETED if whole else Result.FAILED)
+        if whole:
+            client.finish()
+        else:
+            client.cut()  # before its end, so that the client can tell
+
+    def _stream_over(self, held: _Open, result: Result) -> None:
+        held.reading = None
+        self._owed.discard(held.incoming.ident)
+        self.telemetry.ended(held.incoming.service_class, result)
 
     # Actions
 
@@ -398,14 +493,21 @@
                 self._log(action.text)
 
     def _send(self, action: Send) -> None:
-        number = action.request
+        number, server = action.request, action.server
         held = self._open[number]
+        body = held.incoming.body
         attempt, sent_at = len(held.calls), self._clock.now()
 
         def done(outcome: Outcome, response: Response | None) -> None:
-            self._attempt_ended(number, attempt, action.server, sent_at, outcome, response)
+            self._attempt_ended(number, attempt, server, sent_at, outcome, response)
 
-        call = Call(action.server, action.until, held.incoming.message, done, self.telemetry.attempt_written)
+        def began(head: Response, source: ClientConnection) -> Sink | None:
+            return self._stream_began(number, attempt, server, sent_at, head, source)
+
+        # A body that passes through goes to one server at a time, and to none once a part of it has gone.
+        can_be_sent = body.is_repeatable and (held.out == 0 or not body.passes_through)
+        until = action.until if can_be_sent else 0
+        call = Call(server, until, held.incoming.message, done, self.telemetry.attempt_written, began)
         held.calls.append(call)
         held.out += 1
         self._upstream.start(call)
@@ -444,12 +546,14 @@
         held = self._open.get(request)
         return held is None or held.client is None
 
-    def _answer(self, request: int, status: int, headers: Headers, body: bytes = b"") -> None:
+    def _answer(
+        self, request: int, status: int, headers: Headers, body: bytes = b"", length: int | None = None
+    ) -> None:
         held = self._open.get(request)
         client = self._settle(request)
         if held is not None and client is not None:
             self.telemetry.ended(held.incoming.service_class, _RESULTS.get(status, Result.FAILED))
-            client.answer(status, headers, body)
+            client.answer(status, headers, body, length)
         self._forget_if_over(request)
 
     def _settle(self, request: int) -> ClientSide | None:
@@ -458,12 +562,13 @@
         if held is None or held.client is None:
             return None
         client, held.client = held.client, None
+        held.incoming.body.on_whole = None
         self._owed.discard(held.incoming.ident)
         return client
 
     def _forget_if_over(self, request: int) -> None:
         held = self._open.get(request)
-        if held is not None and held.client is None and held.out == 0:
+        if held is not None and held.client is None and held.reading is None and held.out == 0:
             del self._open[request]
 
 
--- a/micadeck/upstream.py
+++ b/micadeck/upstream.py
@@ -7,13 +7,12 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from magpiemux.interface import Limits, Outcome, ServerState
-from micadeck.client import Address, ClientConnection, Failure
+from magpiemux.interface import NEVER, Limits, Outcome, ServerState
+from micadeck.client import Address, Began, ClientConnection, Failure, Sink
 from micadeck.clock import Clock
 from micadeck.discovery import Listing
-from micadeck.http1 import Request, Response
+from micadeck.http1 import KEPT, MOST_BODY, Request, Response, ResponseReader
 
-MOST_BODY = 64 << 10
 _IDLE_MARGIN = 0.1  # of the idle limit: a connection this near to it may be closed at the far end by now
 _LARGEST_FIGURE = 1e9  # of a load report; what is larger is nonsense
 # What says that this machine, not the server, had no room for a connection.
@@ -25,7 +24,7 @@
 class Call:
     """One request to one server.  `done` is called exactly once, never from within `start` or `cancel`."""
 
-    __slots__ = ("connection", "done", "ended", "message", "server", "timer", "until", "written")
+    __slots__ = ("began", "connection", "done", "ended", "message", "server", "timer", "until", "written")
 
     def __init__(
         self,
@@ -34,12 +33,14 @@
         message: Callable[[int], Request],
         done: Done,
         written: Callable[[], None] | None = None,
+        began: Began | None = None,
     ) -> None:
         self.server = server
         self.until = until
         self.message = message  # given the time left, in microseconds
         self.done = done
         self.written = written  # called once the server may have begun it
+        self.began = began  # called once an answer has begun that is too large to be kept
         self.ended = False
         self.connection: ClientConnection | None = None  # once it is written
         self.timer: asyncio.TimerHandle | None = None
@@ -117,7 +118,8 @@
         if server is None or server.is_leaving or left_us <= 0:
             loop.call_soon(self._end, call, Outcome.UNSENT)
             return
-        call.timer = loop.call_later(left_us / 1e6, self._expire, call)
+        if call.until < NEVER:
+            call.timer = loop.call_later(left_us / 1e6, self._expire, call)
         connection = self._take(server)
         if connection is not None:
             self._write(call, connection)
@@ -129,6 +131,13 @@
         else:
             loop.call_soon(self._end, call, Outcome.UNSENT)
 
+    def limit(self, call: Call, until: int) -> None:
+        """Abandon the call at this time: it had no limit before."""
+        if not call.ended and call.timer is None:
+            call.until = until
+            left_s = max(until - self._clock.now(), 0) / 1e6
+            call.timer = asyncio.get_running_loop().call_later(left_s, self._expire, call)
+
     def cancel(self, call: Call) -> None:
         """Stop waiting; the outcome follows."""
         if call.ended:
@@ -177,9 +186,14 @@
         def ended(how: Response | Failure) -> None:
             self._end(call, _outcome(how), how if isinstance(how, Response) else None)
 
+        def began(head: Response, connection: ClientConnection) -> Sink | None:
+            if call.timer is not None:
+                call.timer.cancel()  # its time is kept: from here on, progress counts
+            return None if call.began is None else call.began(head, connection)
+
         call.connection = connection
         message = call.message(max(call.until - self._clock.now(), 1_000))
-        connection.exchange(message, ended, call.written)
+        connection.exchange(message, ended, call.written, began if call.began is not None else None)
 
     # Connections
 
@@ -189,7 +203,8 @@
         try:
             async with asyncio.timeout(self._dial_within_s):
                 _, connection = await asyncio.get_running_loop().create_connection(
-                    lambda: ClientConnection(MOST_BODY, self._freed, self._closed), *server.address
+                    lambda: ClientConnection(ResponseReader(KEPT, MOST_BODY), self._freed, self._closed),
+                    *server.address,
                 )
         except (OSError, TimeoutError) as fault:
             if isinstance(fault, OSError) and fault.errno in _OWN_FAULTS:
--- /dev/null
+++ b/tests/test_streaming.py
@@ -0,0 +1,479 @@
+"""Bodies that pass through in pieces, both ways, with slow, rude and vanishing peers."""
+
+from __future__ import annotations
+
+import asyncio
+import hashlib
+import resource
+from collections.abc import AsyncIterator
+
+import pytest
+from helpers import MS, Stage, names
+from helpers import S as SECOND
+from loopback import (
+    OK,
+    Client,
+    Heard,
+    ScriptedServer,
+    play,
+    read_head,
+    request,
+    soon,
+    stage,
+    until,
+)
+
+from magpiemux.interface import AttemptEnded, Fail, Outcome, Refuse, RequestArrived, RequestWhole
+from micadeck.frontend import ClientLimits
+from micadeck.http1 import KEPT, MOST_BODY, Body
+from micadeck.sidecar import Sidecar
+
+HEAD = b"HTTP/1.1 200 OK\r\n"
+
+
+def pattern(size: int) -> bytes:
+    return hashlib.shake_128(b"%d" % size).digest(size)
+
+
+class Sucking(ScriptedServer):
+    """Reads requests in either framing, as slowly as it is told, and keeps a digest of each body."""
+
+    def __init__(self, answer: bytes = OK) -> None:
+        super().__init__(None)
+        self.answer = answer
+        self.go_on = asyncio.Event()
+        self.go_on.set()
+        self.heads: list[dict[str, str]] = []
+        self.digests: list[bytes] = []
+        self.got = 0
+        self.cuts: list[str] = []  # connections still to be cut off in the middle of a body
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self._writers.append(writer)
+        try:
+            while True:
+                _, headers = await read_head(reader)
+                self.heads.append(headers)
+                digest = hashlib.sha1()
+                async for piece in self._pieces(reader, headers):
+                    digest.update(piece)
+                    self.got += len(piece)
+                    if self.cuts and self.got >= 60_000:
+                        self.cuts.pop()
+                        writer.transport.abort()
+                        return
+                    await self.go_on.wait()
+                self.digests.append(digest.digest())
+                writer.write(self.answer)
+        except (asyncio.IncompleteReadError, ConnectionError):
+            pass
+        finally:
+            writer.close()
+
+    async def _pieces(self, reader: asyncio.StreamReader, headers: dict[str, str]) -> AsyncIterator[bytes]:
+        if headers.get("transfer-encoding") != "chunked":
+            left = int(headers.get("content-length", "0"))
+            while left:
+                piece = await reader.readexactly(min(left, 65_536))
+                left -= len(piece)
+                yield piece
+            return
+        while size := int(await reader.readline(), 16):
+            yield await reader.readexactly(size)
+            await reader.readexactly(2)
+        await reader.readexactly(2)
+
+
+def chunked(body: bytes, size: int, trailer: bytes = b"") -> bytes:
+    pieces = [body[at : at + size] for at in range(0, len(body), size)]
+    return b"".join(b"%x;x=y\r\n%s\r\n" % (len(each), each) for each in pieces) + b"0\r\n" + trailer + b"\r\n"
+
+
+@pytest.mark.parametrize("form", ["length", "chunked"])
+@pytest.mark.parametrize("size", [KEPT - 1, KEPT, KEPT + 1, 3_000_000])
+def test_a_large_body_reaches_its_server_unchanged(form: str, size: int) -> None:
+    async def work() -> None:
+        server = Sucking()
+        async with stage(server) as scene:
+            body = pattern(size)
+            client = await scene.client()
+            if form == "length":
+                client.send(request("lodge", body=body))
+            else:
+                head = request("lodge", Content_Length="", Transfer_Encoding="chunked")
+                client.send(head + chunked(body, 70_001, b"X-Trailer: 1\r\n"))
+            assert (await client.answer()).status == 200
+            assert server.digests == [hashlib.sha1(body).digest()]
+            assert (await client.ask("lodge", body=b"next")).status == 200  # the connection goes on
+            assert figure(scene.sidecar, "app.upstream_requests") == 2
+
+    play(work)
+
+
+def figure(sidecar: Sidecar, name: str) -> int:
+    (found,) = [each for each in sidecar.calls()["telemetry"]() if each.startswith(f"{name}=")]
+    return int(found.partition("=")[2])
+
+
+def test_a_server_that_reads_nothing_holds_its_client_back_and_memory_stays_bounded() -> None:
+    async def work() -> None:
+        server = Sucking()
+        async with stage(server) as scene:
+            server.go_on.clear()
+            size = MOST_BODY
+            client = await scene.client()
+            before = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
+            piece = bytes(1 << 20)
+            client.send(request("lodge", Content_Length=str(size)))
+            sent = 0
+
+            async def send() -> None:
+                nonlocal sent
+                while sent < size:
+                    client.send(piece)
+                    sent += len(piece)
+                    await client.writer.drain()
+
+            sending = asyncio.ensure_future(send())
+            await until(lambda: server.got > 0)
+            await asyncio.sleep(0.3)
+            assert not sending.done()
+            (held,) = scene.sidecar._open.values()
+            assert held.incoming.body.waiting <= 200_000
+            assert figure(scene.sidecar, "app.upstream_requests") == 0  # its last byte is not written
+            assert figure(scene.sidecar, "app.pending") == 0  # nor taken
+            server.go_on.set()
+            assert (await client.answer()).status == 200
+            await sending
+            assert server.got == size
+            assert resource.getrusage(resource.RUSAGE_SELF).ru_maxrss - before < 20_000  # KiB
+
+    play(work)
+
+
+@pytest.mark.parametrize("form", ["length", "chunked", "close"])
+@pytest.mark.parametrize("size", [100, KEPT + 1, 3_000_000])
+def test_a_large_answer_reaches_its_client_unchanged(form: str, size: int) -> None:
+    async def work() -> None:
+        body = pattern(size)
+
+        async def script(heard: Heard) -> bytes | None:
+            if form == "length":
+                return HEAD + b"Content-Length: %d\r\n\r\n" % size + body
+            if form == "chunked":
+                trailer = b"X-Trailer: 1\r\n"
+                return HEAD + b"Transfer-Encoding: chunked\r\n\r\n" + chunked(body, 70_001, trailer)
+            heard.writer.write(HEAD + b"Connection: close\r\n\r\n" + body)
+            heard.writer.close()
+            return None
+
+        async with stage(script) as scene:
+            client = await scene.client()
+            for _ in range(2):  # the client's connection goes on
+                client.send(request())
+                assert await whole(client) == (200, body)
+            assert figure(scene.sidecar, "app.downstream_requests.check.completed") == 2
+            assert figure(scene.sidecar, "app.pending") == 0
+
+    play(work)
+
+
+async def whole(client: Client) -> tuple[int, bytes]:
+    """An answer in either framing."""
+    first, headers = await soon(read_head(client.reader))
+    status = int(first.split(" ")[1])
+    if headers.get("transfer-encoding") != "chunked":
+        return status, await soon(client.reader.readexactly(int(headers["content-length"])))
+    body = b""
+    while size := int(await soon(client.reader.readline()), 16):
+        body += await soon(client.reader.readexactly(size))
+        await client.reader.readexactly(2)
+    await client.reader.readexactly(2)
+    return status, body
+
+
+def test_a_client_that_reads_slowly_holds_its_server_back_and_is_served_in_the_end() -> None:
+    async def work() -> None:
+        written = 0
+
+        async def script(heard: Heard) -> None:
+            nonlocal written
+            heard.writer.write(HEAD + b"Content-Length: %d\r\n\r\n" % MOST_BODY)
+            for _ in range(MOST_BODY >> 20):
+                heard.writer.write(bytes(1 << 20))
+                await heard.writer.drain()
+                written += 1 << 20
+
+        async with stage(script) as scene:
+            before = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
+            client = await scene.client()
+            client.send(request(timeout="0.5"))
+            await until(lambda: written > 0)
+            await asyncio.sleep(1.0)  # its time is up; an answer under way is not cut off for that
+            assert written < MOST_BODY
+            got = await soon(client.reader.readuntil(b"\r\n\r\n"))
+            left = MOST_BODY
+            while left:
+                got = await soon(client.reader.read(1 << 20))
+                assert got
+                left -= len(got)
+            assert resource.getrusage(resource.RUSAGE_SELF).ru_maxrss - before < 20_000  # KiB
+
+    play(work)
+
+
+@pytest.mark.parametrize("form", ["length", "chunked"])
+def test_an_answer_that_breaks_on_its_way_through_is_cut_off_so_that_its_client_can_tell(
+    form: str,
+) -> None:
+    async def work() -> None:
+        async def script(heard: Heard) -> None:
+            framing = b"Content-Length: 900000" if form == "length" else b"Transfer-Encoding: chunked"
+            body = bytes(300_000)
+            heard.writer.write(HEAD + framing + b"\r\n\r\n")
+            heard.writer.write(body if form == "length" else b"%x\r\n%s\r\nnonsense\r\n" % (len(body), body))
+            await heard.writer.drain()
+            if form == "length":
+                heard.writer.close()
+
+        async with stage(script, script) as scene:
+            client = await scene.client()
+            client.send(request())
+            with pytest.raises((asyncio.IncompleteReadError, ConnectionError, ValueError)):
+                await whole(client)
+            assert len(scene.heard) == 1  # what has begun to pass on is not asked for again
+            await until(lambda: figure(scene.sidecar, "app.downstream_requests.check.failed") == 1)
+            assert scene.sidecar.open_requests == 0
+
+    play(work)
+
+
+def test_a_client_that_leaves_an_answer_under_way_frees_its_server() -> None:
+    async def work() -> None:
+        async def script(heard: Heard) -> None:
+            heard.writer.write(HEAD + b"Content-Length: 30000000\r\n\r\n" + bytes(200_000))
+
+        async with stage(script) as scene:
+            client = await scene.client()
+            client.send(request())
+            await soon(client.reader.readexactly(100_000))
+            client.writer.transport.abort()
+            await until(lambda: scene.servers[0].closed == [0])
+            await until(lambda: scene.sidecar.open_requests == 0)
+            assert scene.sidecar.frontend.open_connections == 0
+
+    play(work)
+
+
+@pytest.mark.parametrize(("size", "status"), [(KEPT, 200), (20_000_000, 503)])
+def test_a_body_is_written_again_only_while_all_of_it_is_kept(size: int, status: int) -> None:
+    async def work() -> None:
+        servers = [Sucking(), Sucking()]
+        servers[0].cuts = servers[1].cuts = ["whichever is met first"]
+        async with stage(*servers) as scene:
+            assert (await scene.ask("amend", body=bytes(size))).status == status
+            assert servers[0].cuts == []
+            # The large one never ran, so trying again is harmless, but the sidecar can't.
+            assert sum(len(each.heads) for each in servers) == (2 if status == 200 else 1)
+            assert figure(scene.sidecar, "app.upstream_requests") == (2 if status == 200 else 0)
+
+    play(work)
+
+
+@pytest.mark.parametrize("form", ["length", "chunked"])
+def test_a_body_over_32_mib_gets_413(form: str) -> None:
+    # Guards against a reset that takes the answer with it, when the client is still sending.
+    async def work() -> None:
+        server = Sucking()
+        async with stage(server) as scene:
+            client = await scene.client()
+            body = bytes(MOST_BODY + 1)
+            if form == "length":
+                client.send(request("lodge", body=body))
+            else:
+                client.send(request("lodge", Content_Length="", Transfer_Encoding="chunked"))
+                client.send(chunked(body, 1 << 20))
+            assert (await client.answer()).status == 413
+            assert server.digests == []  # no server had the whole of it
+            await until(lambda: scene.sidecar.open_requests == 0)
+
+    play(work)
+
+
+SHORT = ClientLimits(stall_s=0.3, trickle_s=0.5, least_in_trickle=1_000, sweep_s=0.01)
+
+
+@pytest.mark.parametrize("how", ["stalls", "trickles", "leaves", "nonsense"])
+def test_a_body_that_stops_half_way_is_let_go_and_never_runs(how: str) -> None:
+    async def work() -> None:
+        server = Sucking()
+        async with stage(server, client_limits=SHORT) as scene:
+            client = await scene.client()
+            if how == "nonsense":
+                head = request("lodge", Content_Length="", Transfer_Encoding="chunked")
+                client.send(head + b"%x\r\n%s\r\n" % (200_000, bytes(200_000)))
+            else:
+                client.send(request("lodge", Content_Length="1000000") + bytes(200_000))
+            await until(lambda: server.got > 100_000)
+            if how == "leaves":
+                client.writer.transport.abort()
+            elif how == "nonsense":
+                client.send(b"no chunk\r\n")
+                assert (await client.answer()).status == 400
+            else:
+                if how == "trickles":
+                    trickle = asyncio.ensure_future(trickled(client))
+                assert (await client.answer()).status == 408
+                if how == "trickles":
+                    trickle.cancel()
+            await until(lambda: scene.sidecar.open_requests == 0)
+            assert server.digests == []
+            await until(lambda: scene.sidecar.frontend.open_connections == 0)
+            assert (await scene.ask("lodge")).status == 200
+
+    play(work)
+
+
+async def trickled(client: Client) -> None:
+    while True:
+        client.send(b"x")
+        await asyncio.sleep(0.02)
+
+
+def test_a_slow_body_outlasts_the_time_of_its_request() -> None:
+    # Its time begins with its last byte; progress is all that is asked of it before.
+    async def work() -> None:
+        server = Sucking()
+        async with stage(server) as scene:
+            client = await scene.client()
+            client.send(request("lodge", timeout="0.4", Content_Length="400000"))
+            for _ in range(8):
+                client.send(bytes(50_000))
+                await asyncio.sleep(0.1)
+            assert (await client.answer()).status == 200
+            assert float(server.heads[0]["request-timeout"]) <= 0.4
+
+    play(work)
+
+
+def test_an_early_refusal_answers_a_body_that_still_comes() -> None:
+    async def work() -> None:
+        async with stage(OK, bounds={"maxOpen": 0}) as scene:
+            client = await scene.client()
+            client.send(request("lodge", Content_Length="1000000") + bytes(200_000))
+            assert (await client.answer()).status == 503
+            assert await soon(client.reader.read()) == b""
+            assert scene.heard == []
+
+    play(work)
+
+
+def test_expect_is_answered_before_a_large_body() -> None:
+    async def work() -> None:
+        server = Sucking()
+        async with stage(server) as scene:
+            client = await scene.client()
+            client.send(request("lodge", Content_Length="300000", Expect="100-continue"))
+            assert await soon(client.reader.readuntil(b"\r\n\r\n")) == b"HTTP/1.1 100 Continue\r\n\r\n"
+            client.send(bytes(300_000))
+            assert (await client.answer()).status == 200
+            assert "expect" not in server.heads[0]
+
+    play(work)
+
+
+@pytest.mark.parametrize("length", [6, 5_000_000])
+def test_head_passes_on_the_length_and_no_body(length: int) -> None:
+    async def work() -> None:
+        async def script(heard: Heard) -> bytes:
+            assert heard.method == "HEAD"
+            return HEAD + b"Content-Length: %d\r\n\r\n" % length
+
+        async with stage(script) as scene:
+            client = await scene.client()
+            for _ in range(2):
+                client.send(request().replace(b"GET", b"HEAD", 1))
+                first, headers = await soon(read_head(client.reader))
+                assert (first, headers["content-length"]) == ("HTTP/1.1 200 OK", str(length))
+
+    play(work)
+
+
+def test_an_old_client_gets_a_large_answer_of_unknown_length_ended_by_its_connection() -> None:
+    async def work() -> None:
+        body = pattern(200_000)
+
+        async def script(heard: Heard) -> bytes:
+            return HEAD + b"Transfer-Encoding: chunked\r\n\r\n" + chunked(body, 10_000)
+
+        async with stage(script) as scene:
+            client = await scene.client()
+            client.send(request().replace(b"HTTP/1.1", b"HTTP/1.0", 1))
+            _, headers = await soon(read_head(client.reader))
+            assert "transfer-encoding" not in headers and headers["connection"] == "close"
+            assert await soon(client.reader.read()) == body
+
+    play(work)
+
+
+def test_white_space_round_header_values_is_no_part_of_them() -> None:
+    async def work() -> None:
+        async with stage(OK) as scene:
+            raw = request("lodge", body=b"x").replace(b"\r\nRequest-", b" \t\r\nRequest-")
+            assert raw.count(b" \t\r\n") >= 3
+            client = await scene.client()
+            client.send(raw)
+            assert (await client.answer()).status == 200
+
+    play(work)
+
+
+def test_a_request_cut_at_every_point_is_the_same_request() -> None:
+    async def work() -> None:
+        async with stage(OK) as scene:
+            client = await scene.client()
+            for raw in (request(), request("lodge", body=b"abc")):
+                for at in range(len(raw)):
+                    client.send(raw[at : at + 1])
+                    await asyncio.sleep(0)
+                assert (await client.answer()).status == 200
+
+    play(work)
+
+
+# The decisions
+
+
+def test_the_time_of_a_request_that_still_comes_begins_with_its_last_byte() -> None:
+    stage = Stage()
+    stage.servers(names(3))
+    stage.play(RequestArrived(1, "pay", None, None, 500 * MS, coming=True))
+    assert len(stage.sends(1)) == 1
+    stage.wait(30 * SECOND)
+    assert stage.said(Fail) == [] and stage.said(Refuse) == []
+    assert stage.balancer._load() == 0  # what still comes is no work for a server
+    stage.play(RequestWhole(1, 500 * MS))
+    assert stage.balancer._load() == 1
+    stage.wait(499 * MS)
+    assert [each.request for each in stage.said(Fail)] == [1]
+
+
+def test_what_can_not_be_written_again_is_given_up_at_once() -> None:
+    stage = Stage()
+    stage.servers(names(3))
+    stage.play(RequestArrived(1, "look", None, None, 500 * MS, coming=True))
+    (_, send) = stage.sends(1)[0]
+    stage.play(AttemptEnded(1, 0, send.server, Outcome.DIAL_FAILED, 0, False, None, again=False))
+    assert len(stage.sends(1)) == 1
+    assert [each.request for each in stage.said(Refuse)] == [1]
+    assert stage.balancer._load() == 0
+
+
+def test_a_body_keeps_its_first_part_and_gives_the_rest_once() -> None:
+    body = Body(is_whole=False)
+    body.add(bytes(KEPT - 10))
+    body.add(b"x" * 20)
+    body.add(b"y" * 5)
+    assert (len(body.kept), body.waiting, body.is_repeatable) == (KEPT - 10, 25, True)
+    assert body.take() == b"x" * 20 + b"y" * 5
+    assert (body.take(), body.is_repeatable, body.size) == (b"", False, KEPT + 15)
