--- a/magpiemux/balancer.py
+++ b/magpiemux/balancer.py
@@ -52,6 +52,7 @@
 REACH_PER_BUSY = 1.0  # and from one more for each request in flight: as many again may be empty
 TICKS_EARLY = 2  # a final answer leaves this many ticks before the client's time is up
 COLD_SHARE = 0.25  # part of the pushing-over load that a cold server's budget fills at
+BORNE_FADES = 0.5  # what a warm server bore fades e-fold in this part of the time to warm up
 COLD_BURST = 0.18  # part of that load that may come at once
 RATE_SPANS = 2.0  # rates are averaged over this many fall times
 ASK_AGAIN = 0.05  # first wait before asking discovery again, of the time allowed without asking
@@ -285,7 +286,7 @@
         self._remote = 1.0  # odds of a server in another zone, as of _remote_at
         self._remote_at = -1
         self._far_part = 0.0  # part of the ready servers that are in other zones
-        self._bearable = 0.0  # what a warm server of mean size serves for this balancer, as of _bearable_at
+        self._bearable = 0.0  # what a warm server of mean size bore for this balancer, as of _bearable_at
         self._mean_size = 1.0
         self._bearable_at = -1
         self._answers = 0  # answers so far, from all servers
@@ -316,7 +317,7 @@
     def _settings_changed(self, settings: Settings) -> None:
         """Go by new settings; what was learnt of servers stays, and of classes that are still there."""
         self._obey(settings)
-        self._bearable_at = self._remote_at = -1
+        self._remote_at = -1
         for rate in (self._arrivals, self._served_warm):
             rate.over(RATE_SPANS * settings.rules.fall_us)
         self._mix = {key: each for key, each in self._mix.items() if key[0] in self._classes}
@@ -1192,13 +1193,20 @@
         return server.allowance >= min(cost, most)
 
     def _bearable_by_mean(self) -> float:
-        """What a warm server serves for this balancer; worked out once for each instant."""
+        """What a warm server has lately served for this balancer; worked out once for each instant.
+
+        The highest counts, and fades.  Guards against a loop: what is served falls where requests are
+        refused, and would take the budgets of cold servers with it, just when these are needed.
+        """
         if self._bearable_at != self._now:
+            lapse = self._now - self._bearable_at if self._bearable_at >= 0 else 0
+            faded = math.exp(-lapse / max(BORNE_FADES * self._settings.rules.cold_us, 1.0))
             self._bearable_at = self._now
             warm = [each for each in self._ready if not self._is_cold(each)]
             peers = warm or self._ready  # ejected ones too: they served a part of what is counted
             served = self._served_warm if warm else self._arrivals
-            self._bearable = served.per_us(self._now) / max(min(len(peers), self._reach()), 1)
+            now = served.per_us(self._now) / max(min(len(peers), self._reach()), 1)
+            self._bearable = max(now, self._bearable * faded)
             self._mean_size = sum(each.nominal for each in peers) / max(len(peers), 1)
         return self._bearable
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -386,3 +386,16 @@
         first += [] if first[seed:] else [4 * S]
     early = sum(1 for each in first if each < 1 * S)
     assert 3 < early < 80  # some within the first second, and by no means all
+
+
+def test_refusing_under_overload_does_not_starve_cold_servers() -> None:
+    # Guards against a loop: less served, so smaller budgets for cold servers, so more refused.
+    stage = Stage()
+    stage.servers(names(4))
+    stage.serve(200)
+    bore = stage.balancer._bearable_by_mean()
+    assert bore > 0.0
+    stage.wait(5 * S)  # half of the time to warm up, and nothing is served in it
+    assert bore / 4 < stage.balancer._bearable_by_mean() < bore / 2
+    stage.wait(60 * S)
+    assert stage.balancer._bearable_by_mean() < bore / 1_000
