--- a/Makefile
+++ b/Makefile
@@ -5,9 +5,9 @@
 
 setup: $(BIN)/ruff
 
-$(BIN)/ruff: pyproject.toml requirements.txt
+$(BIN)/ruff: pyproject.toml requirements.txt constraints.txt
 	python3 -m venv $(VENV)
-	$(BIN)/pip install -q --disable-pip-version-check -e '.[dev]'
+	$(BIN)/pip install -q --disable-pip-version-check -c constraints.txt -e '.[dev]'
 	touch $(BIN)/ruff
 
 test: setup
--- a/micadeck/sidecar.py
+++ b/micadeck/sidecar.py
@@ -10,7 +10,7 @@
 import socket
 from collections import deque
 from collections.abc import Callable, Mapping, Sequence
-from dataclasses import replace
+from dataclasses import dataclass, replace
 
 from magpiemux import Balancer, Settings
 from magpiemux.interface import (
@@ -91,6 +91,16 @@
         self.last_outcome: Outcome | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class _Attempt:
+    """Which attempt something is about."""
+
+    request: int
+    number: int
+    server: str
+    sent_at: int
+
+
 class Sidecar:
     """One sidecar from its start to its end."""
 
@@ -383,65 +393,41 @@
         self._post(RequestGone(request))
         self._forget_if_over(request)
 
-    def _attempt_ended(
-        self,
-        request: int,
-        attempt: int,
-        server: str,
-        sent_at: int,
-        outcome: Outcome,
-        response: Response | None,
-    ) -> None:
-        held = self._open[request]
+    def _attempt_ended(self, attempt: _Attempt, outcome: Outcome, response: Response | None) -> None:
+        held = self._open[attempt.request]
         held.out -= 1
-        if held.streamed == attempt:
+        if held.streamed == attempt.number:
             self._stream_ended(held, outcome)  # the decisions heard of it when it began
-            self._forget_if_over(request)
+            self._forget_if_over(attempt.request)
             return
         held.last_outcome = outcome
         if outcome is Outcome.DELIVERED and response is not None:
-            self._answer(request, 200, _passed_back(response), response.body, response.length)
-        self._tell_end(held, request, attempt, server, sent_at, outcome, response)
-
-    def _tell_end(
-        self,
-        held: _Open,
-        request: int,
-        attempt: int,
-        server: str,
-        sent_at: int,
-        outcome: Outcome,
-        response: Response | None,
-    ) -> None:
+            self._answer(attempt.request, 200, _passed_back(response), response.body, response.length)
+        self._tell_end(held, attempt, outcome, response)
+
+    def _tell_end(self, held: _Open, attempt: _Attempt, outcome: Outcome, response: Response | None) -> None:
         report = load_report(response, self._settings.report_columns)
-        elapsed = self._clock.now() - max(sent_at, held.whole_at)
+        elapsed = self._clock.now() - max(attempt.sent_at, held.whole_at)
         again = held.incoming.body.is_repeatable
+        number, server = attempt.number, attempt.server
         # Whether it is answered is looked up when the event's turn comes.
-        self._post(AttemptEnded(request, attempt, server, outcome, elapsed, False, report, again))
+        self._post(AttemptEnded(attempt.request, number, server, outcome, elapsed, False, report, again))
 
     # Answers that pass through
 
-    def _stream_began(
-        self,
-        request: int,
-        attempt: int,
-        server: str,
-        sent_at: int,
-        head: Response,
-        source: ClientConnection,
-    ) -> Sink | None:
+    def _stream_began(self, attempt: _Attempt, head: Response, source: ClientConnection) -> Sink | None:
         """The first bytes of an answer are there that is too large to be kept: it passes on from now.
 
         For the decisions it is delivered here: how fast the client reads says nothing of the server.
         """
-        held = self._open[request]
-        client = self._settle(request)
+        held = self._open[attempt.request]
+        client = self._settle(attempt.request)
         if client is None:
             return None
         self._owed.add(held.incoming.ident)  # until its last byte
-        held.reading, held.streamed = client, attempt
+        held.reading, held.streamed = client, attempt.number
         client.begin(head.status, _passed_back(head), head.length, source)
-        self._tell_end(held, request, attempt, server, sent_at, Outcome.DELIVERED, head)
+        self._tell_end(held, attempt, Outcome.DELIVERED, head)
         return client
 
     def _stream_ended(self, held: _Open, outcome: Outcome) -> None:
@@ -493,21 +479,20 @@
                 self._log(action.text)
 
     def _send(self, action: Send) -> None:
-        number, server = action.request, action.server
-        held = self._open[number]
+        held = self._open[action.request]
         body = held.incoming.body
-        attempt, sent_at = len(held.calls), self._clock.now()
+        attempt = _Attempt(action.request, len(held.calls), action.server, self._clock.now())
 
         def done(outcome: Outcome, response: Response | None) -> None:
-            self._attempt_ended(number, attempt, server, sent_at, outcome, response)
+            self._attempt_ended(attempt, outcome, response)
 
         def began(head: Response, source: ClientConnection) -> Sink | None:
-            return self._stream_began(number, attempt, server, sent_at, head, source)
+            return self._stream_began(attempt, head, source)
 
         # A body that passes through goes to one server at a time, and to none once a part of it has gone.
         can_be_sent = body.is_repeatable and (held.out == 0 or not body.passes_through)
         until = action.until if can_be_sent else 0
-        call = Call(server, until, held.incoming.message, done, self.telemetry.attempt_written, began)
+        call = Call(action.server, until, held.incoming.message, done, self.telemetry.attempt_written, began)
         held.calls.append(call)
         held.out += 1
         self._upstream.start(call)
