--- a/micadeck/__main__.py
+++ b/micadeck/__main__.py
@@ -75,10 +75,16 @@
     if config.control is not None:
         control.listen(config.control)
         log(f"operators are heard on {config.control[0]}:{control.port}")
-    await sidecar.start(inherited)
-    log(f"{config.name} serves on {config.listen[0]}:{sidecar.frontend.port}")
-    gc.freeze()  # what is there now stays: collections need not look at it
-    await stop.wait()
+    starting = asyncio.ensure_future(sidecar.start(inherited))
+    stopping = asyncio.ensure_future(stop.wait())
+    await asyncio.wait((starting, stopping), return_when=asyncio.FIRST_COMPLETED)
+    if starting.done():
+        starting.result()  # raises what went wrong
+        log(f"{config.name} serves on {config.listen[0]}:{sidecar.frontend.port}")
+        gc.freeze()  # what is there now stays: collections need not look at it
+        await stopping
+    else:
+        starting.cancel()  # told to stop while it waits for a list
     log("draining")
     await sidecar.drain()
     control.close()
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import os
 import signal
 import socket
@@ -173,6 +174,27 @@
     play(work)
 
 
+def test_a_takeover_that_is_told_to_stop_while_it_waits_ends_without_having_served(
+    listener: socket.socket, tmp_path: Path
+) -> None:
+    async def work() -> None:
+        async with world(OK, tmp_path) as (config, _):
+            with bind((HOST, 0)) as silent:
+                given = json.loads(config.read_text())
+                given["discovery"] = f"{HOST}:{silent.getsockname()[1]}"
+                config.write_text(json.dumps(given))
+                descriptor = listener.fileno()
+                process = await started(config, (descriptor,), BALANCER_INHERITED_FD=str(descriptor))
+                assert process.stderr is not None
+                assert b"operators are heard on" in await soon(process.stderr.readline())
+                process.send_signal(signal.SIGTERM)
+                said = await soon(process.stderr.read())
+                assert b"serves on" not in said and b"drained" in said
+                assert await soon(process.wait()) == 0
+
+    play(work)
+
+
 def test_room_for_servers_is_halved_while_two_versions_run(
     listener: socket.socket, monkeypatch: pytest.MonkeyPatch
 ) -> None:
