--- a/micadeck/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""Micadeck: the sidecar that puts magpiemux's decisions on real sockets."""
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -5,8 +5,8 @@
 from collections.abc import Iterable
 from typing import Any, TypeVar
 
-from magpiemux import Balancer, Settings
-from magpiemux.interface import (
+from tulipnotch.decisions import Balancer, Settings
+from tulipnotch.decisions.interface import (
     Action,
     AttemptEnded,
     Event,
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -13,9 +13,9 @@
 
 import uvloop
 
-from micadeck.config import parse
-from micadeck.frontend import ClientLimits
-from micadeck.sidecar import Sidecar
+from tulipnotch.sidecar.config import parse
+from tulipnotch.sidecar.frontend import ClientLimits
+from tulipnotch.sidecar.sidecar import Sidecar
 
 HOST = "127.0.0.1"
 PATIENCE_S = 20.0  # how long a test waits for what must come; never what it measures
--- a/tests/running.py
+++ b/tests/running.py
@@ -63,7 +63,7 @@
     return await asyncio.create_subprocess_exec(
         sys.executable,
         "-m",
-        "micadeck",
+        "tulipnotch.sidecar",
         cwd=ROOT,
         env={**os.environ, "BALANCER_CONFIG": str(config), **environ},
         pass_fds=pass_fds,
--- a/tests/test_any_sequence.py
+++ b/tests/test_any_sequence.py
@@ -9,9 +9,9 @@
 from hypothesis import settings as how
 from hypothesis import strategies as st
 
-from magpiemux import Balancer
-from magpiemux.interface import AttemptEnded as Ended
-from magpiemux.interface import (
+from tulipnotch.decisions import Balancer
+from tulipnotch.decisions.interface import AttemptEnded as Ended
+from tulipnotch.decisions.interface import (
     Cancel,
     CloseIdle,
     Event,
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -9,9 +9,9 @@
 import pytest
 from loopback import HOST, OK, Client, Heard, play, request, soon, stage, until
 
-from micadeck.control import CallRefused, Control, ControlLimits
-from micadeck.http1 import Request
-from micadeck.telemetry import Result, Telemetry
+from tulipnotch.sidecar.control import CallRefused, Control, ControlLimits
+from tulipnotch.sidecar.http1 import Request
+from tulipnotch.sidecar.telemetry import Result, Telemetry
 
 SHORT = ControlLimits(line_timeout_s=0.2, linger_s=0.1, most_connections=4)
 
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -8,8 +8,8 @@
 import pytest
 from loopback import HOST, Heard, ScriptedDiscovery, ScriptedServer, line, play, reply, soon, until
 
-from micadeck.client import parse_address
-from micadeck.discovery import Discovery, Listing, parse_listing
+from tulipnotch.sidecar.client import parse_address
+from tulipnotch.sidecar.discovery import Discovery, Listing, parse_listing
 
 
 class Ears:
--- a/tests/test_draw.py
+++ b/tests/test_draw.py
@@ -8,8 +8,8 @@
 import pytest
 from helpers import MS, S, Stage, names, settings
 
-from magpiemux.balancer import Server
-from magpiemux.interface import (
+from tulipnotch.decisions.balancer import Server
+from tulipnotch.decisions.interface import (
     Cancel,
     CloseIdle,
     ListedServer,
--- a/tests/test_frontend.py
+++ b/tests/test_frontend.py
@@ -9,7 +9,7 @@
 import pytest
 from loopback import OK, Heard, play, request, soon, stage, until
 
-from micadeck.frontend import ClientLimits
+from tulipnotch.sidecar.frontend import ClientLimits
 
 
 @pytest.mark.parametrize(
--- a/tests/test_on_call.py
+++ b/tests/test_on_call.py
@@ -5,10 +5,10 @@
 import re
 from pathlib import Path
 
-from magpiemux.interface import Outcome
+from tulipnotch.decisions.interface import Outcome
 
 ROOT = Path(__file__).parent.parent
-MODULE = (ROOT / "magpiemux" / "balancer.py").read_text(encoding="utf-8")
+MODULE = (ROOT / "tulipnotch" / "decisions" / "balancer.py").read_text(encoding="utf-8")
 
 
 def test_every_log_line_stands_on_the_on_call_page() -> None:
@@ -39,7 +39,9 @@
 
 def test_every_line_of_the_sidecar_stands_on_the_on_call_page() -> None:
     page = (ROOT / "docs" / "on-call.md").read_text(encoding="utf-8")
-    source = "".join(each.read_text(encoding="utf-8") for each in (ROOT / "micadeck").glob("*.py"))
+    source = "".join(
+        each.read_text(encoding="utf-8") for each in (ROOT / "tulipnotch" / "sidecar").glob("*.py")
+    )
     written = re.findall(r'(?:log|print)\(\s*f?"([^"]*)"', source)
     assert len(written) >= 8
     for text in written:
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -7,8 +7,8 @@
 
 from loopback import HOST, play, soon
 
-from micadeck.client import Address
-from micadeck.peers import Peers
+from tulipnotch.sidecar.client import Address
+from tulipnotch.sidecar.peers import Peers
 
 
 def test_peers_hear_one_another_and_nobody_else() -> None:
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -59,7 +59,7 @@
     path = tmp_path / "config.json"
     path.write_text(given if isinstance(given, str) else json.dumps(given))
     done = subprocess.run(
-        [sys.executable, "-m", "micadeck"],
+        [sys.executable, "-m", "tulipnotch.sidecar"],
         cwd=ROOT,
         env={**os.environ, "BALANCER_CONFIG": str(path)},
         capture_output=True,
@@ -69,7 +69,7 @@
     )
     assert done.returncode == 2
     assert done.stdout == "" and done.stderr.count("\n") == 1
-    assert done.stderr.startswith(f"micadeck: config: {key}")
+    assert done.stderr.startswith(f"tulipnotch: config: {key}")
 
 
 def test_sigterm_answers_what_was_taken_and_what_still_comes_then_exits_0(tmp_path: Path) -> None:
@@ -157,7 +157,9 @@
                 second = await started(path)
                 _, told = await soon(second.communicate())
                 assert second.returncode == 1
-                assert told.startswith(b"micadeck: can't listen: ") and told.count(b"\n") == 1
+                assert told.startswith(b"tulipnotch: can't listen: ") and told.count(b"\n") == 1
+
+    play(work)
 
 
 def test_a_started_program_is_evacuated_and_activated_through_its_door(tmp_path: Path) -> None:
@@ -174,5 +176,3 @@
             assert (await running.call("telemetry"))[-1] == "."
 
     play(work)
-
-    play(work)
--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -15,8 +15,8 @@
 from loopback import CLASSES, OK, Heard, play, request, soon, stage, until
 from running import GOOD, program
 
-from magpiemux.interface import Outcome, SettingsChanged
-from micadeck.config import Config, ConfigError, load, parse
+from tulipnotch.decisions.interface import Outcome, SettingsChanged
+from tulipnotch.sidecar.config import Config, ConfigError, load, parse
 
 FULL: dict[str, Any] = {
     **GOOD,
@@ -169,7 +169,7 @@
 
 
 def test_everything_that_keeps_settings_takes_new_ones(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr("micadeck.frontend._CLASS_FADES_S", 0.05)
+    monkeypatch.setattr("tulipnotch.sidecar.frontend._CLASS_FADES_S", 0.05)
 
     async def work() -> None:
         release = asyncio.Event()
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -7,7 +7,7 @@
 import pytest
 from helpers import MS, START, S, Stage, names, settings
 
-from magpiemux.interface import (
+from tulipnotch.decisions.interface import (
     AttemptEnded,
     Cancel,
     CloseIdle,
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -4,7 +4,16 @@
 
 from helpers import MS, S, Stage, names, settings
 
-from magpiemux.interface import Fail, ListedServer, ListKind, Log, Outcome, Refuse, Repeat, ServerState
+from tulipnotch.decisions.interface import (
+    Fail,
+    ListedServer,
+    ListKind,
+    Log,
+    Outcome,
+    Refuse,
+    Repeat,
+    ServerState,
+)
 
 
 def _ejected(stage: Stage) -> list[str]:
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -9,8 +9,8 @@
 from hypothesis import settings as how
 from hypothesis import strategies as st
 
-from magpiemux import Balancer, Settings
-from magpiemux.interface import Discovery, Repeat, RequestArrived
+from tulipnotch.decisions import Balancer, Settings
+from tulipnotch.decisions.interface import Discovery, Repeat, RequestArrived
 
 LEAST = {"classes": [{"name": "a", "deadline_us": 1_000_000}]}
 
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -10,8 +10,8 @@
 import pytest
 from loopback import HOST, OK, Heard, play, request, stage, until
 
-from magpiemux import Settings
-from magpiemux.interface import (
+from tulipnotch.decisions import Settings
+from tulipnotch.decisions.interface import (
     Action,
     AttemptEnded,
     Cancel,
@@ -69,7 +69,7 @@
 def scripted(monkeypatch: pytest.MonkeyPatch) -> Callable[[Callable[[Event], list[Action]]], Scripted]:
     def use(decide: Callable[[Event], list[Action]]) -> Scripted:
         balancer = Scripted(decide)
-        monkeypatch.setattr("micadeck.sidecar.Balancer", balancer)
+        monkeypatch.setattr("tulipnotch.sidecar.sidecar.Balancer", balancer)
         return balancer
 
     return use
@@ -302,6 +302,6 @@
             client = await scene.client()
             client.send(b"GET /_health HTTP/1.1\r\nHost: x\r\n\r\n")
             assert (await client.answer()).status == 200
-        assert [each for each in faults if "micadeck" in repr(each) or "protocol." in each["message"]] == []
+        assert [each for each in faults if "tulipnotch" in repr(each) or "protocol." in each["message"]] == []
 
     play(work)
--- a/tests/test_streaming.py
+++ b/tests/test_streaming.py
@@ -23,10 +23,10 @@
     until,
 )
 
-from magpiemux.interface import AttemptEnded, Fail, Outcome, Refuse, RequestArrived, RequestWhole
-from micadeck.frontend import ClientLimits
-from micadeck.http1 import KEPT, MOST_BODY, Body
-from micadeck.sidecar import Sidecar
+from tulipnotch.decisions.interface import AttemptEnded, Fail, Outcome, Refuse, RequestArrived, RequestWhole
+from tulipnotch.sidecar.frontend import ClientLimits
+from tulipnotch.sidecar.http1 import KEPT, MOST_BODY, Body
+from tulipnotch.sidecar.sidecar import Sidecar
 
 HEAD = b"HTTP/1.1 200 OK\r\n"
 
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -14,8 +14,8 @@
 from loopback import HOST, OK, Client, Heard, play, request, soon, stage, until
 from running import Program, running_on, started, until_says, world
 
-from micadeck.http1 import Request
-from micadeck.listener import adopt, bind
+from tulipnotch.sidecar.http1 import Request
+from tulipnotch.sidecar.listener import adopt, bind
 
 
 @pytest.fixture
@@ -110,7 +110,7 @@
                 process = await started(config, tuple(open_ones.values()), BALANCER_INHERITED_FD=told)
                 _, said = await soon(process.communicate())
                 assert process.returncode == 2
-                assert said.startswith(b"micadeck: BALANCER_INHERITED_FD: ") and said.count(b"\n") == 1
+                assert said.startswith(b"tulipnotch: BALANCER_INHERITED_FD: ") and said.count(b"\n") == 1
 
     play(work)
 
@@ -135,7 +135,7 @@
 ) -> None:
     # Guards against waiting for a discovery that is down: others wait for this process.
     async def work() -> None:
-        monkeypatch.setattr("micadeck.sidecar._FRESH_WITHIN_S", 0.5)
+        monkeypatch.setattr("tulipnotch.sidecar.sidecar._FRESH_WITHIN_S", 0.5)
         async with stage(OK, silent_discovery=True, started=False, given={"known": None}) as scene:
             starting = asyncio.ensure_future(scene.sidecar.start())
             await asyncio.sleep(0)
@@ -199,7 +199,7 @@
     listener: socket.socket, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     async def work() -> None:
-        monkeypatch.setattr("micadeck.sidecar._SHARED_FOR_S", 0.2)
+        monkeypatch.setattr("tulipnotch.sidecar.sidecar._SHARED_FOR_S", 0.2)
         async with stage(OK, started=False) as scene:
             whole = scene.sidecar._upstream.most
             await scene.sidecar.start(adopt(str(os.dup(listener.fileno()))))
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -288,8 +288,8 @@
 
 
 def test_load_reports_reach_the_decisions_and_nonsense_does_not() -> None:
-    from micadeck.http1 import Response
-    from micadeck.upstream import load_report
+    from tulipnotch.sidecar.http1 import Response
+    from tulipnotch.sidecar.upstream import load_report
 
     def read(text: bytes) -> dict[str, float] | None:
         return load_report(Response(200, [(b"server-load", text)], b""), ("qps", "util"))
--- a/magpiemux/balancer.py
+++ b/tulipnotch/decisions/balancer.py
@@ -1,6 +1,6 @@
 """All decisions of a sidecar balancer, by best-of-k with redraw.
 
-Types, events and actions: magpiemux/interface.py.  The reasons for each departure: docs/design.md.
+Types, events and actions: tulipnotch/decisions/interface.py.  The reasons for each departure: docs/design.md.
 
 Per request: draw k random distinct ready servers and send to the one with the fewest of this balancer's own
 requests in flight; on a full answer draw again, wider.  Every attempt leaves through `_send` and every final
@@ -13,7 +13,7 @@
 import math
 import random
 
-from magpiemux.interface import (
+from tulipnotch.decisions.interface import (
     NEVER,
     Action,
     AnswerStarted,
--- /dev/null
+++ b/tulipnotch/sidecar/__init__.py
@@ -0,0 +1,1 @@
+"""The real sidecar: it puts the decisions on real sockets."""
--- a/micadeck/__main__.py
+++ b/tulipnotch/sidecar/__main__.py
@@ -1,4 +1,4 @@
-"""Starts a sidecar: `python -m micadeck`.
+"""Starts a sidecar: `python -m tulipnotch.sidecar`.
 
 Exit codes: 0 after SIGTERM or SIGINT, 1 if it can't listen, 2 if its configuration or the listening socket
 that it inherits is bad.
@@ -15,10 +15,10 @@
 
 import uvloop
 
-from micadeck.config import Config, ConfigError, load
-from micadeck.control import Control
-from micadeck.listener import adopt
-from micadeck.sidecar import Sidecar
+from tulipnotch.sidecar.config import Config, ConfigError, load
+from tulipnotch.sidecar.control import Control
+from tulipnotch.sidecar.listener import adopt
+from tulipnotch.sidecar.sidecar import Sidecar
 
 _INHERITED = "BALANCER_INHERITED_FD"
 _LINES_PER_S = 20.0
@@ -95,19 +95,19 @@
     try:
         config = load(os.environ)
     except ConfigError as fault:
-        print(f"micadeck: config: {fault}".replace("\n", " "), file=sys.stderr)
+        print(f"tulipnotch: config: {fault}".replace("\n", " "), file=sys.stderr)
         return 2
     descriptor = os.environ.get(_INHERITED)
     try:
         inherited = adopt(descriptor) if descriptor else None
     except ValueError as fault:
-        print(f"micadeck: {_INHERITED}: {fault}", file=sys.stderr)
+        print(f"tulipnotch: {_INHERITED}: {fault}", file=sys.stderr)
         return 2
     try:
         with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
             runner.run(serve(config, inherited))
     except OSError as fault:
-        print(f"micadeck: can't listen: {fault}", file=sys.stderr)
+        print(f"tulipnotch: can't listen: {fault}", file=sys.stderr)
         return 1
     return 0
 
--- a/micadeck/client.py
+++ b/tulipnotch/sidecar/client.py
@@ -14,7 +14,7 @@
 from enum import Enum, unique
 from typing import Protocol, cast
 
-from micadeck.http1 import Request, Response, ResponseReader
+from tulipnotch.sidecar.http1 import Request, Response, ResponseReader
 
 _ANSWER_TIMEOUT_S = (
     0.25  # without a byte of an answer that has begun, while it can still be asked for elsewhere
--- a/micadeck/control.py
+++ b/tulipnotch/sidecar/control.py
@@ -11,8 +11,8 @@
 from dataclasses import dataclass
 from typing import cast
 
-from micadeck.client import Address
-from micadeck.listener import Acceptor, bind
+from tulipnotch.sidecar.client import Address
+from tulipnotch.sidecar.listener import Acceptor, bind
 
 
 @dataclass(frozen=True, slots=True)
--- a/micadeck/discovery.py
+++ b/tulipnotch/sidecar/discovery.py
@@ -8,9 +8,9 @@
 from dataclasses import dataclass
 from typing import Any
 
-from magpiemux.interface import ListedServer, ListKind, ServersListed, ServerState
-from micadeck.client import Address, ClientConnection, Failure, parse_address
-from micadeck.http1 import Request, Response, ResponseReader
+from tulipnotch.decisions.interface import ListedServer, ListKind, ServersListed, ServerState
+from tulipnotch.sidecar.client import Address, ClientConnection, Failure, parse_address
+from tulipnotch.sidecar.http1 import Request, Response, ResponseReader
 
 _STATES = {"active": ServerState.READY, "leaving": ServerState.DRAINING, "left": ServerState.GONE}
 _PATH = "/catalog/members"
--- a/micadeck/frontend.py
+++ b/tulipnotch/sidecar/frontend.py
@@ -11,11 +11,20 @@
 from itertools import chain, islice
 from typing import Protocol, cast
 
-from magpiemux.interface import ServiceClass, Settings
-from micadeck.http1 import CONTINUE, KEPT, LAST_CHUNK, Headers, Request, RequestReader, Response, chunk
-from micadeck.incoming import BadRequest, Incoming, read_request
-from micadeck.lifecycle import Lifecycle
-from micadeck.listener import Acceptor
+from tulipnotch.decisions.interface import ServiceClass, Settings
+from tulipnotch.sidecar.http1 import (
+    CONTINUE,
+    KEPT,
+    LAST_CHUNK,
+    Headers,
+    Request,
+    RequestReader,
+    Response,
+    chunk,
+)
+from tulipnotch.sidecar.incoming import BadRequest, Incoming, read_request
+from tulipnotch.sidecar.lifecycle import Lifecycle
+from tulipnotch.sidecar.listener import Acceptor
 
 _READ_AT_ONCE = 32 << 10
 _WAITING = 32 << 10  # of a body that passes through, before its client has to wait for the server
--- a/micadeck/listener.py
+++ b/tulipnotch/sidecar/listener.py
@@ -6,7 +6,7 @@
 import socket
 from collections.abc import Callable
 
-from micadeck.client import Address
+from tulipnotch.sidecar.client import Address
 
 _BACKLOG = 1_024
 _ACCEPTED_AT_ONCE = 8  # connections, before those that are open get their turn
--- a/micadeck/peers.py
+++ b/tulipnotch/sidecar/peers.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 from typing import cast
 
-from micadeck.client import Address
+from tulipnotch.sidecar.client import Address
 
 MOST_BYTES = 256  # of a datagram; a longer one is never sent
 
--- a/micadeck/sidecar.py
+++ b/tulipnotch/sidecar/sidecar.py
@@ -12,8 +12,8 @@
 from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass, replace
 
-from magpiemux import Balancer, Settings
-from magpiemux.interface import (
+from tulipnotch.decisions import Balancer, Settings
+from tulipnotch.decisions.interface import (
     Action,
     AttemptEnded,
     Cancel,
@@ -41,20 +41,20 @@
     Tell,
     TimerFired,
 )
-from micadeck import discovery
-from micadeck.client import ClientConnection, Sink
-from micadeck.clock import Clock
-from micadeck.config import Config
-from micadeck.control import Call as ControlCall
-from micadeck.control import CallRefused
-from micadeck.frontend import ClientLimits, ClientSide, Frontend
-from micadeck.http1 import Headers, Request, Response
-from micadeck.incoming import BadRequest, Incoming
-from micadeck.lifecycle import Lifecycle, Phase
-from micadeck.listener import bind
-from micadeck.peers import Peers
-from micadeck.telemetry import Result, Telemetry
-from micadeck.upstream import Call, Upstream, load_report
+from tulipnotch.sidecar import discovery
+from tulipnotch.sidecar.client import ClientConnection, Sink
+from tulipnotch.sidecar.clock import Clock
+from tulipnotch.sidecar.config import Config
+from tulipnotch.sidecar.control import Call as ControlCall
+from tulipnotch.sidecar.control import CallRefused
+from tulipnotch.sidecar.frontend import ClientLimits, ClientSide, Frontend
+from tulipnotch.sidecar.http1 import Headers, Request, Response
+from tulipnotch.sidecar.incoming import BadRequest, Incoming
+from tulipnotch.sidecar.lifecycle import Lifecycle, Phase
+from tulipnotch.sidecar.listener import bind
+from tulipnotch.sidecar.peers import Peers
+from tulipnotch.sidecar.telemetry import Result, Telemetry
+from tulipnotch.sidecar.upstream import Call, Upstream, load_report
 
 _RESERVED = 48  # descriptors for everything but clients and servers
 _FOR_CLIENTS = 0.5  # of the rest
--- a/micadeck/upstream.py
+++ b/tulipnotch/sidecar/upstream.py
@@ -7,11 +7,11 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from magpiemux.interface import NEVER, Limits, Outcome, ServerState
-from micadeck.client import Address, Began, ClientConnection, Failure, Sink
-from micadeck.clock import Clock
-from micadeck.discovery import Listing
-from micadeck.http1 import KEPT, MOST_BODY, Request, Response, ResponseReader
+from tulipnotch.decisions.interface import NEVER, Limits, Outcome, ServerState
+from tulipnotch.sidecar.client import Address, Began, ClientConnection, Failure, Sink
+from tulipnotch.sidecar.clock import Clock
+from tulipnotch.sidecar.discovery import Listing
+from tulipnotch.sidecar.http1 import KEPT, MOST_BODY, Request, Response, ResponseReader
 
 _IDLE_MARGIN = 0.1  # of the idle limit: a connection this near to it may be closed at the far end by now
 _LARGEST_FIGURE = 1e9  # of a load report; what is larger is nonsense
--- /dev/null
+++ b/tulipnotch/simwire/__init__.py
@@ -0,0 +1,1 @@
+"""The decisions on the wire of the operators' simulator."""
--- a/magpiemux/adapter.py
+++ b/tulipnotch/simwire/adapter.py
@@ -1,7 +1,7 @@
 """Puts balancers on the simulator's wire: a map of names, and no decision.
 
-Run as `python -m magpiemux.adapter`.  Input that breaks the wire's grammar ends the process with one line on
-standard error and exit code 2.
+Run as `python -m tulipnotch.simwire.adapter`.  Input that breaks the wire's grammar ends the process with one
+line on standard error and exit code 2.
 """
 
 from __future__ import annotations
@@ -11,8 +11,8 @@
 from collections.abc import Callable, Iterable, Mapping
 from typing import Any, TextIO
 
-from magpiemux.balancer import Balancer
-from magpiemux.interface import (
+from tulipnotch.decisions.balancer import Balancer
+from tulipnotch.decisions.interface import (
     Action,
     AnswerStarted,
     AttemptEnded,
