Add one command, an operator file and structured events

The program could only be started with the platform's environment, its log was free text, and a bad file named one fault at a time. `tulipnotch run|check|ctl` now has help, examples and documented exit codes; `check` names every fault with its key and line; the operator file (TOML, msgspec) sets the log and the limits of the door and of clients; the log has fixed events, as text or, with structlog, as JSON. click: lazy subcommands and typed parameters; msgspec: strict typed conversion with bounds; structlog: the field's standard for structured logs; import-linter: contracts between parts. None is imported by a plain `run`.

--- a/Makefile
+++ b/Makefile
@@ -17,5 +17,6 @@
 	$(BIN)/ruff check .
 	$(BIN)/ruff format --check .
 	$(BIN)/mypy
+	$(BIN)/lint-imports
 
 check: lint test
--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements of the program; none of them runs in CI."""
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -13,6 +13,7 @@
 
 import uvloop
 
+from tulipnotch.sidecar import logs
 from tulipnotch.sidecar.config import parse
 from tulipnotch.sidecar.frontend import ClientLimits
 from tulipnotch.sidecar.sidecar import Sidecar
@@ -295,7 +296,12 @@
         **(given or {}),
     }
     log: list[str] = []
-    sidecar = Sidecar(parse(config, config), log.append, client_limits)
+
+    def note(event: str, /, **fields: object) -> None:
+        assert fields.keys() == logs.EVENTS[event].fields
+        log.append(logs.line(event, fields))
+
+    sidecar = Sidecar(parse(config, config), note, client_limits)
     if started:
         await sidecar.start()
     scene = Stage(sidecar, discovery, servers, log)
--- a/tests/test_draw.py
+++ b/tests/test_draw.py
@@ -14,7 +14,7 @@
     CloseIdle,
     ListedServer,
     ListKind,
-    Log,
+    Note,
     Outcome,
     Refuse,
 )
@@ -106,7 +106,7 @@
 def test_a_silent_server_is_ejected_while_its_peers_answer_and_its_repeatable_requests_are_saved() -> None:
     stage = Stage()
     hung, stuck = _with_one_hung(stage, 20)
-    assert any(each.text.startswith(f"ejected {hung}") for each in stage.said(Log))
+    assert any(each.text.startswith(f"ejected {hung}") for each in stage.said(Note))
     copies = [each.server for _, each in stage.sends(stuck[0])]
     assert len(copies) > 1 and hung not in copies[1:]
 
@@ -126,7 +126,7 @@
     assert trials == 1
     trial = next(each.request for _, each in reversed(stage.sends()) if each.server == hung)
     stage.end(trial, attempt=0)
-    assert stage.said(Log)[-1].text == f"readmitted {hung}"
+    assert stage.said(Note)[-1].text == f"readmitted {hung}"
 
 
 def test_servers_that_are_all_silent_are_not_all_ejected() -> None:
@@ -167,7 +167,7 @@
         stage.end(new)
         stage.wait(30 * MS)
         stage.end(old, Outcome.EXPIRED, answered=False)
-    assert not any("ejected" in each.text for each in stage.said(Log))
+    assert not any("ejected" in each.text for each in stage.said(Note))
 
 
 def test_repeats_after_failures_are_bounded() -> None:
@@ -536,7 +536,7 @@
         stage = Stage(seed=seed)
         lost += len(_with_reaped_connections(stage, 300))
         closed += len(stage.said(CloseIdle))
-        assert not any("ejected" in each.text for each in stage.said(Log))
+        assert not any("ejected" in each.text for each in stage.said(Note))
     assert lost < 20 and closed > 20
 
 
--- a/tests/test_on_call.py
+++ b/tests/test_on_call.py
@@ -6,6 +6,7 @@
 from pathlib import Path
 
 from tulipnotch.decisions.interface import Outcome
+from tulipnotch.sidecar.logs import EVENTS
 
 ROOT = Path(__file__).parent.parent
 MODULE = (ROOT / "tulipnotch" / "decisions" / "balancer.py").read_text(encoding="utf-8")
@@ -13,11 +14,11 @@
 
 def test_every_log_line_stands_on_the_on_call_page() -> None:
     page = (ROOT / "docs" / "on-call.md").read_text(encoding="utf-8")
-    written = re.findall(r'Log\(f?"(\w+) ', MODULE)
+    written = re.findall(r'Note\("(\w+)", ', MODULE)
     assert sorted(set(written)) == ["ejected", "readmitted"]
-    assert MODULE.count("Log(") == len(written)
+    assert MODULE.count("Note(") == len(written)
     for word in written:
-        assert f"`{word} SERVER" in page
+        assert word in EVENTS and f"`{word} SERVER" in page
     reasons = ["silent", "spoilt", *(each.value for each in Outcome if each.name in _ejecting())]
     for reason in reasons:
         assert f"`ejected S: {reason}`" in page
@@ -37,13 +38,15 @@
     assert max(len(line) for line in lines) <= 110
 
 
-def test_every_line_of_the_sidecar_stands_on_the_on_call_page() -> None:
+def test_every_event_and_message_of_the_sidecar_stands_on_the_on_call_page() -> None:
     page = (ROOT / "docs" / "on-call.md").read_text(encoding="utf-8")
-    source = "".join(
-        each.read_text(encoding="utf-8") for each in (ROOT / "tulipnotch" / "sidecar").glob("*.py")
-    )
-    written = re.findall(r'(?:log|print)\(\s*f?"([^"]*)"', source)
-    assert len(written) >= 8
-    for text in written:
-        fixed = max(re.split(r"\{[^}]*\}", text), key=len).strip(" :")
-        assert fixed and fixed in page, text
+    folder = ROOT / "tulipnotch" / "sidecar"
+    source = "".join(each.read_text(encoding="utf-8") for each in folder.glob("*.py"))
+    written = set(re.findall(r'\b_?log\(\s*"(\w+)"', source))
+    assert written | {"ejected", "readmitted", "left_out"} == EVENTS.keys()
+    for name, form in EVENTS.items():
+        assert f"| `{name}` |" in page, name
+        fixed = max(re.split(r"\{[^}]*\}", form.text), key=len).strip(" :")
+        assert fixed and fixed in page, form.text
+    for text in re.findall(r'print\(f"(tulipnotch: [^"]*)"', source):
+        assert max(re.split(r"\{[^}]*\}", text), key=len).strip(" :") in page, text
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -8,7 +8,7 @@
     Fail,
     ListedServer,
     ListKind,
-    Log,
+    Note,
     Outcome,
     Refuse,
     Repeat,
@@ -17,7 +17,7 @@
 
 
 def _ejected(stage: Stage) -> list[str]:
-    return [each.text for each in stage.said(Log) if each.text.startswith("ejected")]
+    return [each.text for each in stage.said(Note) if each.text.startswith("ejected")]
 
 
 def test_nothing_is_kept_of_servers_that_were_replaced() -> None:
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -20,8 +20,8 @@
     Fail,
     FetchList,
     ListKind,
-    Log,
     MessageReceived,
+    Note,
     Outcome,
     Probe,
     ProbeEnded,
@@ -199,7 +199,7 @@
         if isinstance(event, RequestArrived):
             return [Send(event.request, "s-0", FAR)]
         if isinstance(event, AttemptEnded):
-            return [CloseIdle("s-0"), CloseIdle("unheard-of"), FetchList(), Log("a line")]
+            return [CloseIdle("s-0"), CloseIdle("unheard-of"), FetchList(), Note("readmitted", "s-0")]
         return []
 
     async def work() -> None:
@@ -213,7 +213,7 @@
                 ListKind.COMPLETE,
             ]
             assert scene.discovery.heard[0].target == "/catalog/members"
-            assert scene.log == ["a line"]
+            assert scene.log == ["readmitted s-0"]
 
     play(work)
 
--- /dev/null
+++ b/tulipnotch/cli/run.py
@@ -0,0 +1,43 @@
+"""`tulipnotch run`: the sidecar in the foreground."""
+
+from __future__ import annotations
+
+import os
+import sys
+from pathlib import Path
+
+import click
+
+from tulipnotch.cli.root import examples
+
+
+@click.command(
+    epilog=examples(
+        "BALANCER_CONFIG=config.json tulipnotch run",
+        "tulipnotch run --config config.json --operator deploy/operator.toml",
+    )
+)
+@click.option(
+    "--config",
+    type=click.Path(exists=True, dir_okay=False, path_type=Path),
+    help="The configuration, in place of $BALANCER_CONFIG.",
+)
+@click.option(
+    "--operator",
+    type=click.Path(exists=True, dir_okay=False, path_type=Path),
+    help="The operator file, in place of $BALANCER_OPERATOR.",
+)
+def run(config: Path | None, operator: Path | None) -> None:
+    """Run one sidecar until SIGTERM or SIGINT; SIGHUP takes up a new configuration.
+
+    Exits with 0 after SIGTERM or SIGINT, with 1 if it can't listen, with 2 if a file or the inherited
+    listening socket is bad.
+    """
+    environ = dict(os.environ)
+    if config is not None:
+        environ["BALANCER_CONFIG"] = str(config.resolve())
+    if operator is not None:
+        environ["BALANCER_OPERATOR"] = str(operator.resolve())
+    # The process becomes the sidecar, so that nothing of the command line stays in its memory.
+    command = [sys.executable, "-m", "tulipnotch.sidecar"]
+    os.execve(command[0], command, environ)
--- a/tulipnotch/decisions/balancer.py
+++ b/tulipnotch/decisions/balancer.py
@@ -27,7 +27,7 @@
     Group,
     ListedServer,
     ListKind,
-    Log,
+    Note,
     Outcome,
     Refuse,
     Repeat,
@@ -1124,7 +1124,7 @@
                 return
             self._ejected.append(server)
             self._stuck += server.in_flight
-            self._actions.append(Log(f"ejected {server.name}: {reason}"))
+            self._actions.append(Note("ejected", server.name, reason))
         aims = min(EJECT_AIMS * 2**server.ejections, EJECT_AIMS_MOST)
         server.ejections = min(server.ejections + 1, 8)
         server.ejected_until = self._after_about(aims)
@@ -1141,7 +1141,7 @@
         server.strikes = 0
         if server.cold_since is not None and server.cold_since != server.started_at:
             self._turned_cold(server, self._now)
-        self._actions.append(Log(f"readmitted {server.name}"))
+        self._actions.append(Note("readmitted", server.name))
 
     def _trial_due(self, request: Request) -> Server | None:
         """An ejected server comes back by one trial at a time, with a request that may be repeated."""
--- a/tulipnotch/decisions/interface.py
+++ b/tulipnotch/decisions/interface.py
@@ -226,19 +226,22 @@
     warm_keys: bool = False  # a server that met a key lately needs less work for it
 
     @staticmethod
-    def from_mapping(given: Mapping[str, Any]) -> Settings:
-        """Read settings from plain nested mappings; raise ValueError, naming the key, on nonsense."""
-        top = _Reader(given, "settings")
+    def from_mapping(given: Mapping[str, Any], faults: list[str] | None = None) -> Settings:
+        """Read settings from plain nested mappings; raise ValueError, naming the key, on nonsense.
+
+        Given a list, every fault is added to it instead; the settings are then of use only if it stays empty.
+        """
+        top = _Reader(given, "settings", faults)
         classes = tuple(_service_class(each) for each in top.parts("classes"))
         if not classes:
-            raise ValueError("classes: at least one class of requests is needed")
+            top.complain("classes: at least one class of requests is needed")
         tenants = tuple(
             Tenant(each.text("name"), each.number("share", 1.0), each.number("quota_per_s", 0.0))
             for each in top.parts("tenants")
         )
         for label, names in (("classes", [c.name for c in classes]), ("tenants", [t.name for t in tenants])):
             if len(set(names)) != len(names):
-                raise ValueError(f"{label}: a name stands twice")
+                top.complain(f"{label}: a name stands twice")
         report = top.part("report")
         limits, rules, prices = top.part("limits"), top.part("rules"), top.part("prices")
         goal, habits, domain = top.part("goal"), top.part("client_habits"), top.part("domain")
@@ -328,46 +331,60 @@
 class _Reader:
     """Reads one mapping; each complaint names the path of the key.  A null counts as absent."""
 
-    def __init__(self, given: object, path: str) -> None:
+    def __init__(self, given: object, path: str, faults: list[str] | None) -> None:
+        self._faults = faults
         if not isinstance(given, Mapping):
-            raise ValueError(f"{path}: a mapping is needed")
-        self._given = given
+            self.complain(f"{path}: a mapping is needed")
+            given = {}
+        self._given: Mapping[str, Any] = given
         self._path = "" if path == "settings" else path + "."
 
+    def complain(self, text: str) -> None:
+        if self._faults is None:
+            raise ValueError(text)
+        self._faults.append(text)
+
     def _value(self, key: str) -> Any:
         return self._given.get(key)
 
-    def _nonsense(self, key: str, needed: str) -> ValueError:
-        return ValueError(f"{self._path}{key}: {needed} is needed, not {self._value(key)!r:.60}")
+    def _nonsense(self, key: str, needed: str) -> None:
+        self.complain(f"{self._path}{key}: {needed} is needed, not {self._value(key)!r:.60}")
 
     def part(self, key: str) -> _Reader:
         value = self._value(key)
-        return _Reader({} if value is None else value, self._path + key)
+        return _Reader({} if value is None else value, self._path + key, self._faults)
 
     def parts(self, key: str) -> list[_Reader]:
         value = self._value(key)
         if value is None:
             return []
         if not isinstance(value, Sequence) or isinstance(value, (str, bytes)):
-            raise self._nonsense(key, "a list")
-        return [_Reader(each, f"{self._path}{key}[{index}]") for index, each in enumerate(value)]
+            self._nonsense(key, "a list")
+            return []
+        return [
+            _Reader(each, f"{self._path}{key}[{index}]", self._faults) for index, each in enumerate(value)
+        ]
 
     def text(self, key: str, default: str | None = None) -> str:
         value = self._value(key)
         if value is None and default is not None:
             return default
         if not isinstance(value, str):
-            raise self._nonsense(key, "a text")
+            self._nonsense(key, "a text")
+            return default or ""
         return value
 
     def texts(self, key: str) -> tuple[str, ...]:
         value = self._value(key)
         if value is None:
             return ()
-        if not isinstance(value, Sequence) or isinstance(value, str):
-            raise self._nonsense(key, "a list of texts")
-        if not all(isinstance(each, str) for each in value):
-            raise self._nonsense(key, "a list of texts")
+        if (
+            not isinstance(value, Sequence)
+            or isinstance(value, str)
+            or not all(isinstance(each, str) for each in value)
+        ):
+            self._nonsense(key, "a list of texts")
+            return ()
         return tuple(value)
 
     def flag(self, key: str, default: bool) -> bool:
@@ -375,7 +392,8 @@
         if value is None:
             return default
         if not isinstance(value, bool):
-            raise self._nonsense(key, "true or false")
+            self._nonsense(key, "true or false")
+            return default
         return value
 
     def number(self, key: str, default: float, low: float = 0.0, high: float = _LARGEST) -> float:
@@ -383,7 +401,8 @@
         if value is None:
             return default
         if isinstance(value, bool) or not isinstance(value, (int, float)) or not low <= value <= high:
-            raise self._nonsense(key, f"a number from {low:g} to {high:g}")
+            self._nonsense(key, f"a number from {low:g} to {high:g}")
+            return default
         return float(value)
 
     def whole(self, key: str, default: int | None, low: int = 0) -> int:
@@ -391,10 +410,12 @@
         if value is None and default is not None:
             return default
         if isinstance(value, bool) or not isinstance(value, (int, float)) or not low <= value <= _LARGEST:
-            raise self._nonsense(key, f"a whole number from {low}")
-        if value != int(value):
-            raise self._nonsense(key, "a whole number")
-        return int(value)
+            self._nonsense(key, f"a whole number from {low}")
+        elif value != int(value):
+            self._nonsense(key, "a whole number")
+        else:
+            return int(value)
+        return max(low, 1) if default is None else default
 
     def optional_whole(self, key: str) -> int | None:
         return None if self._value(key) is None else self.whole(key, None)
@@ -406,7 +427,8 @@
         for each in kind:
             if value == each.value:
                 return each
-        raise self._nonsense(key, "one of " + ", ".join(str(each.value) for each in kind))
+        self._nonsense(key, "one of " + ", ".join(str(each.value) for each in kind))
+        return default
 
 
 # ---------------------------------------------------------------------------------------------------
@@ -615,10 +637,21 @@
 
 
 @dataclass(slots=True)
-class Log:
-    """A line for the operators."""
+class Note:
+    """An event for the operators: its name and fields, of those that the sidecar's log knows."""
+
+    event: str
+    server: str
+    reason: str = ""
+
+    @property
+    def fields(self) -> dict[str, str]:
+        fields = {"server": self.server, "reason": self.reason}
+        return {name: value for name, value in fields.items() if value}
 
-    text: str
+    @property
+    def text(self) -> str:
+        return f"{self.event} {self.server}" + (f": {self.reason}" if self.reason else "")
 
 
-Action = Send | Refuse | Fail | Cancel | SetTimer | Probe | CloseIdle | Tell | Follow | FetchList | Log
+Action = Send | Refuse | Fail | Cancel | SetTimer | Probe | CloseIdle | Tell | Follow | FetchList | Note
--- /dev/null
+++ b/tulipnotch/lab/scenario.py
@@ -0,0 +1,413 @@
+"""A scenario: one description of a world, its load, its faults and what is expected, as a TOML file.
+
+It is checked like the operator file.  Times are in the unit that a key's name ends with; shares and parts are
+of 1.  `docs/lab.md` explains every table.
+"""
+
+from __future__ import annotations
+
+import operator
+import re
+from collections.abc import Callable, Iterator, Mapping
+from dataclasses import dataclass
+from importlib import resources
+from pathlib import Path
+from typing import Annotated, Any, Literal
+
+import msgspec
+from msgspec import Meta
+
+from tulipnotch.settings.check import BadFile, Checked, Fault, nearest, read_toml
+
+Part = Annotated[float, Meta(ge=0.0, le=1.0)]
+Positive = Annotated[float, Meta(gt=0.0, le=1e6)]
+NotNegative = Annotated[float, Meta(ge=0.0, le=1e6)]
+Name = Annotated[str, Meta(min_length=1, max_length=64, pattern=r"^[A-Za-z0-9._\-]+$")]
+
+
+class Kind(msgspec.Struct, frozen=True, kw_only=True):
+    """A kind of machine."""
+
+    name: Name
+    share: Positive = 1.0
+    cores: Annotated[int, Meta(ge=1, le=256)] = 4
+    speed: Positive = 1.0  # of a core, against the standard one
+    speed_cv: NotNegative = 0.0
+
+
+class Choke(msgspec.Struct, frozen=True, kw_only=True):
+    """When a crowded server turns slow, and when it gets well."""
+
+    at: Positive = 6.0  # requests waiting for each core
+    over_s: Positive = 2.0  # for so long
+    slower: Annotated[float, Meta(ge=1.0, le=100.0)] = 2.8
+    rest_s: Positive = 3.0  # well again after so long
+    below: Part = 0.3  # with less than this part of its slots busy
+    most_s: Positive = 28.0  # or after so long in any case
+
+
+class Affinity(msgspec.Struct, frozen=True, kw_only=True):
+    """What a server that met a key lately saves on it."""
+
+    gain: Part = 0.5
+    span_s: Positive = 5.0
+    keys_per_core: Annotated[int, Meta(ge=1, le=10_000)] = 25
+
+
+class Fleet(msgspec.Struct, frozen=True, kw_only=True):
+    """The order servers and the sidecars."""
+
+    servers: Annotated[int, Meta(ge=1, le=2_000)] = 9
+    sidecars: Annotated[int, Meta(ge=1, le=5_000)] = 4
+    zones: Annotated[tuple[Name, ...], Meta(min_length=1, max_length=16)] = ("a", "b", "c")
+    cell_size: Annotated[int, Meta(ge=1)] = 5
+    kinds: Annotated[tuple[Kind, ...], Meta(min_length=1)] = (Kind(name="std-4c"),)
+    queue_per_core: Annotated[int, Meta(ge=0, le=1_000_000)] = (
+        30  # the waiting room; beyond it all is turned away
+    )
+    cold_from: Annotated[float, Meta(gt=0.0, le=1.0)] = 0.2  # of its capacity, at its start
+    cold_s: Positive = 15.0  # to the full, evenly
+    fall_multiple: Positive = 2.5  # sent more than this multiple of what a cold server can do
+    fall_s: Positive = 1.0  # within this span, it falls over and stays down
+    error_rate: Part = 0.0
+    stops_cancelled: bool = True  # whether work stops when its connection closes
+    choke: Choke | None = None
+    affinity: Affinity | None = None
+    report_period_s: Positive = 0.8  # how often the `queue` that probes read is refreshed
+    probe_work_ms: NotNegative = 0.13
+
+
+class Network(msgspec.Struct, frozen=True, kw_only=True):
+    """Delays one way, and what a new connection costs."""
+
+    same_ms: NotNegative = 0.2
+    cross_ms: NotNegative = 0.6
+    client_ms: NotNegative = 0.05
+    jitter: NotNegative = 0.2  # of each delay, exponential
+    handshake_rtts: Annotated[int, Meta(ge=0, le=10)] = 2
+    handshake_work_ms: NotNegative = 2.0
+    idle_s: Positive = 10.0  # servers close what has been idle for so long
+    dial_timeout_ms: Positive = 250.0
+
+
+class Discovery(msgspec.Struct, frozen=True, kw_only=True):
+    """The directory of servers: late, of fixed capacity, at times down."""
+
+    drain_notice_s: NotNegative = 0.2
+    crash_notice_s: NotNegative = 3.0
+    add_notice_s: NotNegative = 1.0
+    calls_per_s: Positive = 200.0
+    timeout_s: Positive = 2.0
+
+
+class Load(msgspec.Struct, frozen=True, kw_only=True):
+    """What clients ask for."""
+
+    utilisation: Positive | None = None  # of what the warm fleet can do; or
+    rate: Positive | None = None  # first tries a second
+    shape: Literal["steady", "wave"] = "steady"
+    swing: Part = 0.1  # of a wave
+    period_s: Positive = 20.0
+    factors: tuple[tuple[float, float], ...] = ()  # from each of these seconds on, the rate times this
+    skew: NotNegative = 0.3  # of the rate from sidecar to sidecar (coefficient of variation)
+    keys: Annotated[int, Meta(ge=1, le=10_000_000)] = 1_000
+    key_zipf: NotNegative = 0.8
+
+    def __post_init__(self) -> None:
+        if (self.utilisation is None) == (self.rate is None):
+            raise ValueError("utilisation: one of utilisation and rate is needed, and only one")
+        if any(at < 0 or factor < 0 for at, factor in self.factors):
+            raise ValueError("factors: pairs of a second and a factor are needed, neither below 0")
+        if list(self.factors) != sorted(self.factors):
+            raise ValueError("factors: the seconds must rise")
+
+
+class ServiceClass(msgspec.Struct, frozen=True, kw_only=True):
+    """One class of requests."""
+
+    name: Name
+    share: Positive = 1.0
+    work_ms: Positive = 60.0  # on a standard core, mean
+    work_cv: NotNegative = 1.0
+    dist: Literal["lognormal", "exponential", "pareto", "constant"] = "lognormal"
+    aim_ms: Positive = 600.0
+    deadline_ms: Positive = 1_500.0
+    worth: Positive = 1.0
+    repeat: Literal["safe", "keyed", "unsafe"] = "safe"
+    group: Literal["all", "zone", "cell"] = "zone"  # of a keyed class: who drops repeats
+    window_ms: NotNegative = 4_000.0  # and for how long
+
+    def __post_init__(self) -> None:
+        if self.aim_ms > self.deadline_ms:
+            raise ValueError("aim_ms: must not be over deadline_ms")
+        if self.dist == "pareto" and self.work_cv <= 0.0:
+            raise ValueError("work_cv: must be above 0 with dist = pareto")
+
+
+class Tenant(msgspec.Struct, frozen=True, kw_only=True):
+    """A district: its share, and what it sends in proportion to that."""
+
+    name: Name
+    share: Positive = 1.0
+    usage: NotNegative = 1.0
+
+
+class Clients(msgspec.Struct, frozen=True, kw_only=True):
+    """What clients do with no for an answer."""
+
+    retries: Annotated[int, Meta(ge=0, le=20)] = 2
+    try_share: Annotated[float, Meta(gt=0.0, le=1.0)] = 0.6  # of the deadline, for one try
+    backoff_ms: NotNegative = 100.0  # doubles at each retry, with jitter
+    honour: Part = 0.6  # the part of clients that wait as `Retry-After` says
+    impatient: Part = 0.0  # the part of requests whose client leaves within a quarter of its time
+
+
+class Rules(msgspec.Struct, frozen=True, kw_only=True):
+    """The figures of the rules."""
+
+    drain_grace_ms: NotNegative = 250.0
+    ask_within_s: Positive = 10.0
+    slack_ms: NotNegative = 50.0
+    max_attempts: Annotated[int, Meta(ge=1, le=100)] = 3
+    second_copies: bool = True
+    over_share_worth: Part = 0.05
+    quota_of_capacity: Positive = 0.8
+
+
+FAULTS: Mapping[str, str] = {
+    "crash": "the process dies, and is back cold after for_s",
+    "hang": "takes requests and answers none",
+    "fast_errors": "fails the part `size` of its requests quickly",
+    "slow": "works `size` times slower",
+    "garble": "spoils the part `size` of its answers",
+    "drain": "leaves in good order, one after another over for_s, and is back cold after back_s",
+    "release": "as drain, all of them at once",
+    "heavy_tail": "the part `extra` of requests costs `size` times the work",
+    "discovery_down": "calls to the directory fail and watches end",
+    "cut": "nothing passes between sidecars and servers of `zone` and all others",
+    "restart": "sidecars are killed and start anew, one after another over for_s",
+}
+
+
+class FaultLine(msgspec.Struct, frozen=True, kw_only=True):
+    """One fault on the time line."""
+
+    kind: Literal[
+        "crash", "hang", "fast_errors", "slow", "garble", "drain", "release", "heavy_tail", "discovery_down",
+        "cut", "restart",
+    ]  # fmt: skip
+    at_s: NotNegative
+    for_s: Positive = 10.0
+    part: Part = 0.2  # of the servers (of the sidecars for `restart`), at least one
+    size: NotNegative = 1.0
+    extra: Part = 0.01
+    back_s: NotNegative = 3.0
+    zone: str = ""
+
+
+class Scenario(msgspec.Struct, frozen=True, kw_only=True):
+    """The whole file."""
+
+    name: Name
+    about: str = ""
+    seconds: Annotated[float, Meta(gt=0.0, le=36_000.0)]
+    warmup_s: NotNegative = 1.0  # what comes before is played and not counted
+    seed: Annotated[int, Meta(ge=0)] = 1
+    fleet: Fleet = Fleet()
+    network: Network = Network()
+    discovery: Discovery = Discovery()
+    load: Load
+    classes: Annotated[tuple[ServiceClass, ...], Meta(min_length=1)]
+    tenants: tuple[Tenant, ...] = ()
+    clients: Clients = Clients()
+    rules: Rules = Rules()
+    faults: tuple[FaultLine, ...] = ()
+    expect: tuple[str, ...] = ()
+
+    @property
+    def mean_work_s(self) -> float:
+        """Of a request, on a standard core."""
+        total = sum(each.share for each in self.classes)
+        return sum(each.share * each.work_ms for each in self.classes) / total / 1e3
+
+    @property
+    def expectations(self) -> list[Expectation]:
+        return [Expectation.parse(each) for each in self.expect]
+
+
+_COMPARISONS: Mapping[str, Callable[[float, float], bool]] = {
+    "<=": operator.le, ">=": operator.ge, "=": operator.eq, "<": operator.lt, ">": operator.gt,
+}  # fmt: skip
+_EXPECTATION = re.compile(r"^\s*([\w.\-]+)\s*(<=|>=|=|<|>)\s*(-?\d+(?:\.\d+)?)\s*$")
+
+
+@dataclass(frozen=True, slots=True)
+class Expectation:
+    """`metric comparison number`, as in `class.commander.served >= 0.98`."""
+
+    metric: str
+    comparison: str
+    bound: float
+
+    @staticmethod
+    def parse(text: str) -> Expectation:
+        """Raise ValueError where the text is none."""
+        found = _EXPECTATION.match(text)
+        if found is None:
+            raise ValueError(f"{text!r:.60} is no expectation; write it as in `rules.broken = 0`")
+        return Expectation(found[1], found[2], float(found[3]))
+
+    def holds(self, metrics: Mapping[str, float]) -> bool:
+        return _COMPARISONS[self.comparison](metrics[self.metric], self.bound)
+
+    def __str__(self) -> str:
+        return f"{self.metric} {self.comparison} {self.bound:g}"
+
+
+def load(path: Path) -> Scenario:
+    """Read and check a scenario; raise `BadFile` with all of its faults."""
+    checked = read_toml(path, Scenario)
+    faults = list(_across(checked))
+    if faults:
+        raise BadFile(str(path), faults)
+    return checked.value
+
+
+def _across(checked: Checked[Scenario]) -> Iterator[Fault]:
+    """What no single table can tell."""
+    given = checked.value
+    for label, names in (
+        ("classes", [each.name for each in given.classes]),
+        ("tenants", [each.name for each in given.tenants]),
+        ("fleet.kinds", [each.name for each in given.fleet.kinds]),
+        ("fleet.zones", list(given.fleet.zones)),
+    ):
+        for index, name in enumerate(names):
+            if name in names[:index]:
+                yield checked.fault(f"{label}[{index}]", f"the name {name} stands twice")
+    if given.warmup_s >= given.seconds:
+        yield checked.fault("warmup_s", "must be under seconds")
+    known = metric_names(given)
+    for index, text in enumerate(given.expect):
+        try:
+            wanted = Expectation.parse(text)
+        except ValueError as fault:
+            yield checked.fault(f"expect[{index}]", str(fault))
+            continue
+        if wanted.metric not in known:
+            yield checked.fault(
+                f"expect[{index}]", f"{wanted.metric} is no metric{nearest(wanted.metric, known)}"
+            )
+    for index, each in enumerate(given.faults):
+        path = f"faults[{index}]"
+        if each.at_s >= given.seconds:
+            yield checked.fault(f"{path}.at_s", "lies after the end")
+        if each.kind == "cut" and each.zone not in given.fleet.zones:
+            hint = nearest(each.zone, given.fleet.zones)
+            yield checked.fault(f"{path}.zone", f"{each.zone or 'nothing'} is no zone{hint}")
+        if each.kind in ("fast_errors", "garble") and each.size > 1.0:
+            yield checked.fault(f"{path}.size", f"is a part for {each.kind}, at most 1")
+        if each.kind in ("slow", "heavy_tail") and each.size < 1.0:
+            yield checked.fault(f"{path}.size", f"must be 1 or more for {each.kind}")
+
+
+RULES = ("answers", "effects", "drains", "cold")
+_OF_CLASS = ("served", "in_time", "refused", "failed", "p50_ms", "p90_ms", "p99_ms", "p999_ms")
+
+
+def metric_names(given: Scenario) -> set[str]:
+    """Every metric that a run of this scenario yields; expectations may name these and no others."""
+    names = {"rules.broken", *(f"rules.{rule}" for rule in RULES)}
+    names |= {
+        "worth",
+        "worst_10s",
+        "served",
+        "in_time",
+        "refused",
+        "failed",
+        "requests",
+        "attempts_per_request",
+    }
+    names |= {f"latency.{each}" for each in _OF_CLASS if each.startswith("p")}
+    names |= {
+        "crossed_zones",
+        "handshakes_per_request",
+        "probes_per_request",
+        "choked_s",
+        "tries_per_request",
+    }
+    names |= {f"class.{each.name}.{what}" for each in given.classes for what in _OF_CLASS}
+    return names | {f"tenant.{each.name}.in_time" for each in given.tenants}
+
+
+def shipped() -> dict[str, Path]:
+    """The scenarios that come with the laboratory, by name."""
+    folder = Path(str(resources.files("tulipnotch.lab") / "scenarios"))
+    return {each.stem: each for each in sorted(folder.glob("*.toml"))}
+
+
+def find(name: str) -> Path:
+    """The path of a scenario given by its name or its path; raise BadFile where there is none."""
+    path = Path(name)
+    known = shipped()
+    if path.suffix == ".toml" or path.exists():
+        return path
+    if name in known:
+        return known[name]
+    raise BadFile(name, [Fault(0, "", f"is no scenario{nearest(name, known)}")])
+
+
+def _us(ms: float) -> int:
+    return int(ms * 1_000)
+
+
+def wire_settings(given: Scenario, sidecar: int, capacity: float) -> dict[str, Any]:
+    """The settings that a sidecar is told, as the platform words them.
+
+    `capacity` is what the warm fleet can do, in seconds of work on a standard core a second.
+    """
+    rules, fleet, network = given.rules, given.fleet, given.network
+    shares = sum(each.share for each in given.tenants) or 1.0
+    bearable = capacity / given.mean_work_s * rules.quota_of_capacity
+    repeats = {"safe": "read_like", "keyed": "idempotency_key", "unsafe": "non_idempotent"}
+    return {
+        "lanes": [
+            {
+                "name": each.name, "giveUpUs": _us(each.deadline_ms), "promiseUs": _us(each.aim_ms),
+                "worth": each.worth, "lateValue": 0.0, "repeat": repeats[each.repeat],
+                "group": "all" if each.repeat == "safe" else each.group, "memorySpanUs": _us(each.window_ms),
+                "streaming": False,
+            }
+            for each in given.classes
+        ],
+        "realms": [
+            {"name": each.name, "portion": each.share / shares, "quotaRps": bearable * each.share / shares}
+            for each in given.tenants
+        ],
+        "zone": fleet.zones[sidecar % len(fleet.zones)],
+        "me": sidecar,
+        "groupSize": fleet.sidecars,
+        "quantumUs": 5_000,
+        "discovery": "on_request",
+        "weights": "silent",
+        "worthBy": "request",
+        "overShareWorth": rules.over_share_worth,
+        "report": {"columns": ["queue"], "source": "pull"},
+        "bounds": {
+            "sendCap": rules.max_attempts, "secondCopies": rules.second_copies, "mayCancel": True,
+            "probing": True, "mayTell": False, "retryAfter": True, "maxRetryAfterUs": 2_000_000,
+            "dialTimeoutUs": _us(network.dial_timeout_ms), "idleCloseUs": int(network.idle_s * 1e6),
+            "streamsPerConn": 1, "maxOpen": 20_000,
+        },
+        "guarantees": {
+            "answerSlackUs": _us(rules.slack_ms), "askWithinUs": int(rules.ask_within_s * 1e6),
+            "drainGraceUs": _us(rules.drain_grace_ms), "coldFrom": fleet.cold_from,
+            "coldUs": int(fleet.cold_s * 1e6), "fallMultiple": fleet.fall_multiple,
+            "fallUs": int(fleet.fall_s * 1e6),
+        },
+        "prices": {"crossZone": 0.022, "waste": 0.015, "probe": 0.01, "lateFail": 0.08, "handshake": 0.02},
+        "goal": {"whole": 0.75, "worstWindow": 0.05, "worstClass": 0.1, "worstTenant": 0.1},
+        "kinds": [each.name for each in fleet.kinds],
+        "clientHabits": {"marksRetry": False},
+        "domain": {"warmKeys": fleet.affinity is not None},
+    }  # fmt: skip
--- /dev/null
+++ b/tulipnotch/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Files that people write: the operator file and scenarios, checked whole by one checker."""
--- a/tulipnotch/sidecar/__main__.py
+++ b/tulipnotch/sidecar/__main__.py
@@ -12,75 +12,90 @@
 import signal
 import socket
 import sys
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from pathlib import Path
 
 import uvloop
 
 from tulipnotch.sidecar.config import Config, ConfigError, load
-from tulipnotch.sidecar.control import Control
+from tulipnotch.sidecar.control import Control, ControlLimits
 from tulipnotch.sidecar.listener import adopt
-from tulipnotch.sidecar.sidecar import Sidecar
+from tulipnotch.sidecar.logs import Format, LineLog, Log, LogLimits
+from tulipnotch.sidecar.sidecar import Sidecar, client_limits
 
 _INHERITED = "BALANCER_INHERITED_FD"
-_LINES_PER_S = 20.0
-_LINES_AT_ONCE = 200.0
+_OPERATOR = "BALANCER_OPERATOR"
 
 
-class LineLog:
-    """Writes lines to standard error, not more than so many a second: a log must not fill a disk."""
+@dataclass(frozen=True, slots=True)
+class Installation:
+    """What the operator file sets; without a file, the defaults."""
 
-    def __init__(self) -> None:
-        self._allowance = _LINES_AT_ONCE
-        self._at = 0.0
-        self._left_out = 0
+    log: Log = field(default_factory=LineLog)
+    door: ControlLimits = field(default_factory=ControlLimits)
+    clients: Mapping[str, float] = field(default_factory=dict)  # of ClientLimits, by name
 
-    def __call__(self, text: str) -> None:
-        now = asyncio.get_running_loop().time()
-        self._allowance = min(self._allowance + (now - self._at) * _LINES_PER_S, _LINES_AT_ONCE)
-        self._at = now
-        if self._allowance < 1.0:
-            self._left_out += 1
-            return
-        self._allowance -= 1.0
-        if self._left_out:
-            print(f"left out {self._left_out} lines", file=sys.stderr)
-            self._left_out = 0
-        print(text, file=sys.stderr, flush=True)
 
-
-def reload(sidecar: Sidecar, log: LineLog) -> None:
+def installation(path: str | None) -> Installation:
+    """Read the operator file, if one is named; raise ConfigError with all of its faults."""
+    if not path:
+        return Installation()
+    try:
+        import msgspec
+
+        from tulipnotch.settings import check, operator
+
+        given = operator.load(Path(path))
+        form = Format(given.log.format)
+        limits = LogLimits(given.log.lines_per_s, given.log.lines_at_once)
+        return Installation(
+            LineLog(form, limits),
+            ControlLimits(**msgspec.structs.asdict(given.door)),
+            msgspec.structs.asdict(given.clients),
+        )
+    except ImportError as missing:
+        raise ConfigError(
+            f"{_OPERATOR}: {missing.name} is not installed; it comes with tulipnotch[operator]"
+        ) from None
+    except check.BadFile as bad:
+        raise ConfigError(f"{_OPERATOR}: {bad}") from None
+
+
+def reload(sidecar: Sidecar, log: Log) -> None:
     """Read the configuration anew, the whole of it; one that can't be used leaves the old one in force."""
     try:
         config = load(os.environ, sidecar.config)
     except ConfigError as fault:
         sidecar.telemetry.config_reload_errors += 1
-        log(f"reload: the old configuration stays in force: {fault}".replace("\n", " "))
+        log("reload_refused", fault=str(fault))
     else:
         sidecar.telemetry.config_reloads += 1
         sidecar.reload(config)
 
 
-async def serve(config: Config, inherited: socket.socket | None) -> None:
+async def serve(config: Config, inherited: socket.socket | None, place: Installation) -> None:
     """Run until SIGTERM or SIGINT, then drain; SIGHUP reads the configuration anew."""
-    log = LineLog()
+    log = place.log
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
     loop.set_exception_handler(
-        lambda _, what: log(f"internal error: {what['message']}: {what.get('exception')!r}")
+        lambda _, what: log("internal_error", where=what["message"], fault=repr(what.get("exception")))
     )
-    sidecar = Sidecar(config, log)
+    sidecar = Sidecar(config, log, client_limits(config, place.clients))
     loop.add_signal_handler(signal.SIGHUP, reload, sidecar, log)
-    control = Control(sidecar.calls())
+    control = Control(sidecar.calls(), place.door)
     if config.control is not None:
         control.listen(config.control)
-        log(f"operators are heard on {config.control[0]}:{control.port}")
+        log("door_open", address=f"{config.control[0]}:{control.port}")
     starting = asyncio.ensure_future(sidecar.start(inherited))
     stopping = asyncio.ensure_future(stop.wait())
     await asyncio.wait((starting, stopping), return_when=asyncio.FIRST_COMPLETED)
     if starting.done():
         starting.result()  # raises what went wrong
-        log(f"{config.name} serves on {config.listen[0]}:{sidecar.frontend.port}")
+        log("serving", name=config.name, address=f"{config.listen[0]}:{sidecar.frontend.port}")
         gc.freeze()  # what is there now stays: collections need not look at it
         await stopping
     else:
@@ -94,6 +109,7 @@
 def main() -> int:
     try:
         config = load(os.environ)
+        place = installation(os.environ.get(_OPERATOR))
     except ConfigError as fault:
         print(f"tulipnotch: config: {fault}".replace("\n", " "), file=sys.stderr)
         return 2
@@ -105,7 +121,7 @@
         return 2
     try:
         with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
-            runner.run(serve(config, inherited))
+            runner.run(serve(config, inherited, place))
     except OSError as fault:
         print(f"tulipnotch: can't listen: {fault}", file=sys.stderr)
         return 1
--- a/tulipnotch/sidecar/config.py
+++ b/tulipnotch/sidecar/config.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import json
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
@@ -49,6 +49,14 @@
     path = environ.get("BALANCER_CONFIG")
     if not path:
         raise ConfigError("BALANCER_CONFIG: the path of the configuration is needed")
+    given = read_object(path)
+    if before is not None:
+        _no_key_missing(given, before.file, "")
+    return parse(with_environment(given, environ), given)
+
+
+def read_object(path: str) -> dict[str, Any]:
+    """Read a file that holds one JSON object; raise ConfigError where it doesn't."""
     try:
         given = json.loads(
             Path(path).read_bytes(), parse_constant=_no_number, object_pairs_hook=_without_doubles
@@ -59,14 +67,17 @@
         raise ConfigError(f"BALANCER_CONFIG: {path} can't be read: {fault}") from None
     if not isinstance(given, dict):
         raise ConfigError("BALANCER_CONFIG: the file must hold an object")
-    if before is not None:
-        _no_key_missing(given, before.file, "")
+    return given
+
+
+def with_environment(given: Mapping[str, Any], environ: Mapping[str, str]) -> dict[str, Any]:
+    """The file's keys, and the environment's for what it leaves out."""
     from_environment = {
         key: environ[f"BALANCER_{key.upper()}"]
         for key in ("name", "listen", "discovery", "control")
         if f"BALANCER_{key.upper()}" in environ
     }
-    return parse({**from_environment, **given}, given)
+    return {**from_environment, **given}
 
 
 def _no_number(text: str) -> None:
@@ -104,37 +115,71 @@
 
 def parse(given: Mapping[str, Any], file: Mapping[str, Any] | None = None) -> Config:
     """Check a configuration; raise ConfigError, naming the key, on nonsense."""
+    return Config(**{name: read() for name, read in _parts(given).items()}, file=file or {})
+
+
+def faults_of(given: Mapping[str, Any]) -> list[str]:
+    """All that `parse` would find wrong, each text beginning with its key."""
+    faults: list[str] = []
+    for read in _parts(given, faults).values():
+        try:
+            read()
+        except ConfigError as fault:
+            faults.append(str(fault))
+    return faults
+
+
+def _parts(given: Mapping[str, Any], faults: list[str] | None = None) -> dict[str, Callable[[], Any]]:
+    """How each part of a configuration is read, by the name of its field."""
+    return {
+        "settings": lambda: _settings(given.get("settings"), faults),
+        "name": lambda: _text(given, "name"),
+        "listen": lambda: _address("listen", given.get("listen")),
+        "control": lambda: _optional_address("control", given.get("control")),
+        "discovery": lambda: _address("discovery", given.get("discovery")),
+        "seed": lambda: _seed(given.get("seed")),
+        "sockets": lambda: _limit(given.get("limits"), "sockets", 64, _DEFAULT_SOCKETS),
+        "memory_mb": lambda: _limit(given.get("limits"), "memory_mb", 16, _DEFAULT_MEMORY_MB),
+        "known": lambda: _known(given.get("known")),
+        "peer_listen": lambda: _optional_address("peer_listen", given.get("peer_listen")),
+        "peers": lambda: _peers(given.get("peers")),
+        "peers_all": lambda: _optional_address("peers_all", given.get("peers_all")),
+    }
+
+
+def _settings(given: object, faults: list[str] | None) -> Settings:
+    found: list[str] | None = None if faults is None else []
     try:
-        settings = settings_from_wire(given.get("settings"))
+        settings = settings_from_wire(given, found)
     except ValueError as nonsense:
-        path, colon, text = str(nonsense).partition(":")
-        known_as = path if path.startswith("settings") else f"settings.{wire_path(path)}"
-        raise ConfigError(known_as + colon + text) from None
+        raise ConfigError(_on_wire(str(nonsense))) from None
+    if faults is not None and found is not None:
+        faults += [_on_wire(each) for each in found]
     if settings.limits.max_attempts < 1:
         raise ConfigError("settings.bounds.sendCap: a number of attempts above 0 is needed")
-    known = given.get("known")
+    return settings
+
+
+def _on_wire(fault: str) -> str:
+    """The fault with its key named as the file names it."""
+    path, colon, text = fault.partition(":")
+    known_as = path if path.startswith("settings") else f"settings.{wire_path(path)}"
+    return known_as + colon + text
+
+
+def _known(given: object) -> Listing:
     try:
-        listing = parse_listing(known) if known is not None else Listing(0, True, ())
+        return parse_listing(given) if given is not None else Listing(0, True, ())
     except ValueError as nonsense:
         raise ConfigError(f"known: {nonsense}") from None
-    peers = given.get("peers") or []
-    if not isinstance(peers, list):
+
+
+def _peers(given: object) -> tuple[Address, ...]:
+    if not given:
+        return ()
+    if not isinstance(given, list):
         raise ConfigError("peers: a list of addresses is needed")
-    return Config(
-        name=_text(given, "name"),
-        listen=_address("listen", given.get("listen")),
-        control=_optional_address("control", given.get("control")),
-        discovery=_address("discovery", given.get("discovery")),
-        settings=settings,
-        seed=_seed(given.get("seed")),
-        sockets=_limit(given.get("limits"), "sockets", 64, _DEFAULT_SOCKETS),
-        memory_mb=_limit(given.get("limits"), "memory_mb", 16, _DEFAULT_MEMORY_MB),
-        known=listing,
-        peer_listen=_optional_address("peer_listen", given.get("peer_listen")),
-        peers=tuple(_address(f"peers[{index}]", each) for index, each in enumerate(peers)),
-        peers_all=_optional_address("peers_all", given.get("peers_all")),
-        file=file or {},
-    )
+    return tuple(_address(f"peers[{index}]", each) for index, each in enumerate(given))
 
 
 def _text(given: Mapping[str, Any], key: str) -> str:
--- /dev/null
+++ b/tulipnotch/sidecar/logs.py
@@ -0,0 +1,125 @@
+"""The log of one process: events with a fixed name and fixed fields, one a line on standard error.
+
+`EVENTS` is the whole list, and the page for staff on call explains each.  Text for people is the default;
+JSON lines, by structlog, are written where the operator file asks for them (imported then, and only then).
+"""
+
+from __future__ import annotations
+
+import string
+import sys
+import time
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
+from enum import Enum, unique
+from typing import Any, Protocol, TextIO
+
+
+class Log(Protocol):
+    """Writes one event: its name in `EVENTS`, and that event's fields, no more and no fewer."""
+
+    def __call__(self, event: str, /, **fields: object) -> None: ...
+
+
+@dataclass(frozen=True, slots=True)
+class EventForm:
+    """How bad an event is, and its line for people; the names in braces are its fields."""
+
+    level: str
+    text: str
+
+    @property
+    def fields(self) -> frozenset[str]:
+        return frozenset(name for _, name, _, _ in string.Formatter().parse(self.text) if name)
+
+
+EVENTS: Mapping[str, EventForm] = {
+    "serving": EventForm("info", "{name} serves on {address}"),
+    "door_open": EventForm("info", "operators are heard on {address}"),
+    "draining": EventForm("info", "draining"),
+    "drained": EventForm("info", "drained"),
+    "no_fresh_list": EventForm("warning", "no fresh list in {waited_s:g} s: going by the known one"),
+    "reloaded": EventForm("info", "reloaded: discovery at {discovery}{waits}"),
+    "reload_refused": EventForm("error", "reload: the old configuration stays in force: {fault}"),
+    "ejected": EventForm("warning", "ejected {server}: {reason}"),
+    "readmitted": EventForm("info", "readmitted {server}"),
+    "message_unsent": EventForm("warning", "a message to other sidecars could not be sent"),
+    "internal_error": EventForm("error", "internal error: {where}: {fault}"),
+    "left_out": EventForm("warning", "left out {count} lines"),
+}
+
+
+def line(event: str, fields: Mapping[str, Any]) -> str:
+    """The event as one line for people; what would break the line is folded.  KeyError: no such event."""
+    return EVENTS[event].text.format_map(fields).replace("\n", " ")
+
+
+@unique
+class Format(Enum):
+    """How events are written."""
+
+    TEXT = "text"
+    JSON = "json"
+
+
+@dataclass(frozen=True, slots=True)
+class LogLimits:
+    """How much may be written: a log must not fill a disk."""
+
+    lines_per_s: float = 20.0
+    lines_at_once: float = 200.0
+
+
+class LineLog:
+    """Writes events to a stream, not more than so many a second; what was left out is counted and said."""
+
+    def __init__(
+        self,
+        form: Format = Format.TEXT,
+        limits: LogLimits | None = None,
+        stream: TextIO | None = None,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self._limits = limits or LogLimits()
+        self._stream = stream or sys.stderr
+        self._clock = clock
+        self._write = self._write_text if form is Format.TEXT else _json_writer(self._stream)
+        self._allowance = self._limits.lines_at_once
+        self._at = clock()
+        self._left_out = 0
+
+    def __call__(self, event: str, /, **fields: object) -> None:
+        now = self._clock()
+        earned = (now - self._at) * self._limits.lines_per_s
+        self._allowance = min(self._allowance + earned, self._limits.lines_at_once)
+        self._at = now
+        if self._allowance < 1.0:
+            self._left_out += 1
+            return
+        self._allowance -= 1.0
+        if self._left_out:
+            left_out, self._left_out = self._left_out, 0
+            self._write("left_out", {"count": left_out})
+        self._write(event, fields)
+
+    def _write_text(self, event: str, fields: Mapping[str, object]) -> None:
+        print(line(event, fields), file=self._stream, flush=True)
+
+
+def _json_writer(stream: TextIO) -> Callable[[str, Mapping[str, object]], None]:
+    import structlog
+
+    logger = structlog.wrap_logger(
+        structlog.WriteLogger(stream),
+        processors=[
+            structlog.processors.add_log_level,
+            structlog.processors.TimeStamper(fmt="iso", utc=True, key="at"),
+            structlog.processors.JSONRenderer(),
+        ],
+        wrapper_class=structlog.BoundLogger,
+    )
+
+    def write(event: str, fields: Mapping[str, object]) -> None:
+        getattr(logger, EVENTS[event].level)(event, **fields)
+
+    return write
--- a/tulipnotch/sidecar/sidecar.py
+++ b/tulipnotch/sidecar/sidecar.py
@@ -9,8 +9,9 @@
 import asyncio
 import socket
 from collections import deque
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Mapping, Sequence
 from dataclasses import dataclass, replace
+from typing import Any
 
 from tulipnotch.decisions import Balancer, Settings
 from tulipnotch.decisions.interface import (
@@ -24,8 +25,8 @@
     FetchList,
     Follow,
     ListKind,
-    Log,
     MessageReceived,
+    Note,
     Outcome,
     Probe,
     ProbeEnded,
@@ -52,6 +53,7 @@
 from tulipnotch.sidecar.incoming import BadRequest, Incoming
 from tulipnotch.sidecar.lifecycle import Lifecycle, Phase
 from tulipnotch.sidecar.listener import bind
+from tulipnotch.sidecar.logs import Log
 from tulipnotch.sidecar.peers import Peers
 from tulipnotch.sidecar.telemetry import Result, Telemetry
 from tulipnotch.sidecar.upstream import Call, Upstream, load_report
@@ -104,9 +106,7 @@
 class Sidecar:
     """One sidecar from its start to its end."""
 
-    def __init__(
-        self, config: Config, log: Callable[[str], None], client_limits: ClientLimits | None = None
-    ) -> None:
+    def __init__(self, config: Config, log: Log, limits: ClientLimits | None = None) -> None:
         self.config = config
         self._log = log
         self._settings = config.settings
@@ -121,10 +121,11 @@
         self._is_inherited = False  # whether other processes hold the listening socket too
         self._shares_room = False  # whether a second process of this sidecar may be running
         self._stop_by: int | None = None  # when all must be answered, once it drains
-        client_limits = client_limits or ClientLimits(most_bytes=config.memory_mb * _REQUESTS_OF_MEMORY)
         self.lifecycle = Lifecycle()
         self.telemetry = Telemetry(each.name for each in config.settings.classes)
-        self.frontend = Frontend(config.settings, client_limits, self.lifecycle, self._arrived, self._gone)
+        self.frontend = Frontend(
+            config.settings, limits or client_limits(config), self.lifecycle, self._arrived, self._gone
+        )
         self._upstream = Upstream(self._clock, config.settings.limits)
         self._divide_descriptors(config.sockets)
         self._discovery = discovery.Discovery(
@@ -169,7 +170,7 @@
             async with asyncio.timeout(within_s):
                 await self._has_fresh_list.wait()
         except TimeoutError:
-            self._log(f"no fresh list in {within_s:g} s: going by the known one")
+            self._log("no_fresh_list", waited_s=within_s)
 
     def _alone(self) -> None:
         """The version before has ended by now."""
@@ -234,7 +235,8 @@
         self._obey(settings)
         kept += [f"settings.{key}" for key in fixed]
         waits = f"; only a restart takes up {', '.join(kept)}" if kept else ""
-        self._log(f"reloaded: discovery at {config.discovery[0]}:{config.discovery[1]}{waits}")
+        address = f"{config.discovery[0]}:{config.discovery[1]}"
+        self._log("reloaded", discovery=address, waits=waits)
 
     def _obey(self, settings: Settings) -> None:
         """Everything that keeps settings takes new ones here, all in one go."""
@@ -327,7 +329,7 @@
 
     def _defect(self, event: Event, fault: Exception) -> None:
         """Live on after a defect in the decisions, and owe nobody an answer because of it."""
-        self._log(f"internal error: {type(event).__name__}: {fault!r}")
+        self._log("internal_error", where=type(event).__name__, fault=repr(fault))
         if isinstance(event, (RequestArrived, AttemptEnded)):
             self._answer(event.request, 500, [])
 
@@ -474,9 +476,9 @@
                 self._probe(action.server)
             case Tell():
                 if not self._peers.tell(action.receiver, action.payload):
-                    self._log("a message to other sidecars could not be sent")
-            case Log():
-                self._log(action.text)
+                    self._log("message_unsent")
+            case Note():
+                self._log(action.event, **action.fields)
 
     def _send(self, action: Send) -> None:
         held = self._open[action.request]
@@ -557,6 +559,12 @@
             del self._open[request]
 
 
+def client_limits(config: Config, given: Mapping[str, Any] | None = None) -> ClientLimits:
+    """What a client may take by default, but for the times that are given."""
+    limits = ClientLimits(most_bytes=config.memory_mb * _REQUESTS_OF_MEMORY)
+    return replace(limits, **(given or {}))
+
+
 def _passed_back(response: Response) -> Headers:
     """What describes the body goes back with it."""
     return [each for each in response.headers if each[0] in (b"content-type", b"content-encoding")]
--- a/tulipnotch/simwire/adapter.py
+++ b/tulipnotch/simwire/adapter.py
@@ -24,8 +24,8 @@
     Follow,
     ListedServer,
     ListKind,
-    Log,
     MessageReceived,
+    Note,
     Outcome,
     Probe,
     ProbeEnded,
@@ -164,8 +164,8 @@
     return ".".join([top.get(name, name) + bracket + index, *(nested.get(each, each) for each in rest)])
 
 
-def settings_from_wire(given: object) -> Settings:
-    """Translate the settings object of the wire."""
+def settings_from_wire(given: object, faults: list[str] | None = None) -> Settings:
+    """Translate the settings object of the wire; ValueError or `faults` as in `Settings.from_mapping`."""
     if not isinstance(given, Mapping):
         raise ValueError("settings: an object is needed")
     named = _renamed(given, _TOP)
@@ -175,7 +175,7 @@
             named[key] = [_renamed(each, names) if isinstance(each, Mapping) else each for each in part]
         elif isinstance(part, Mapping):
             named[key] = _renamed(part, names)
-    return Settings.from_mapping(named)
+    return Settings.from_mapping(named, faults)
 
 
 def _renamed(given: Mapping[str, Any], names: Mapping[str, str]) -> dict[str, Any]:
@@ -316,7 +316,7 @@
     Tell: ("POST", lambda a: [_EVERY_PEER if a.receiver is None else a.receiver, a.payload.hex()]),
     Follow: ("FOLLOW", lambda a: [a.wanted]),
     FetchList: ("REFRESH", lambda a: []),
-    Log: ("REMARK", lambda a: [a.text]),
+    Note: ("REMARK", lambda a: [a.text]),
 }
 
 
