Add a laboratory in virtual time: model, ledger, scenarios, published policies

The laboratory has a model of order servers, discovery, network and clients; a discrete-event engine of its own drives thousands of decision modules; a ledger that shares no code with them judges the four rules; thirteen scenarios (TOML, checked, with expectations); six published policies on the same seeds; `tulipnotch lab list|run|compare` with result.json, a self-contained report and bootstrap intervals. hdrhistogram for latencies, numpy for resampling, matplotlib and jinja2 for the report: each the field's usual choice, extras only.

--- /dev/null
+++ b/tests/lab/test_model.py
@@ -0,0 +1,163 @@
+"""The model is right: it agrees with queueing theory, and its servers do what the page says."""
+
+from __future__ import annotations
+
+import math
+from typing import Any
+
+import msgspec
+import pytest
+from worlds import world
+
+from tulipnotch.lab import fleet, load
+from tulipnotch.lab.ledger import Ledger
+from tulipnotch.lab.policies import POLICIES
+from tulipnotch.lab.scenario import Scenario
+from tulipnotch.lab.server import Job, OrderServer, Stage, Verdict
+from tulipnotch.lab.virtual import World
+
+QUIET = {
+    "network": dict.fromkeys(("same_ms", "cross_ms", "client_ms", "handshake_work_ms"), 0.0)
+    | {"handshake_rtts": 0},
+    "clients": {"retries": 0, "try_share": 1.0},
+    "warmup_s": 20.0,
+}  # fmt: skip
+PATIENT = {"name": "x", "work_ms": 100.0, "dist": "exponential", "aim_ms": 9e5, "deadline_ms": 9e5}
+
+
+def mean_wait(given: Scenario, policy: str, seed: int) -> tuple[float, float]:
+    """In units of the mean work, and the load as it was drawn, in parts of the capacity.
+
+    Theory is asked about the load that came, not the one that was meant: that takes most of the chance out.
+    """
+    run = World(given, seed, POLICIES[policy])
+    run.run()
+    asks = list(load.arrivals(given, seed, 0, load.rates(given, seed, run.capacity)[0]))
+    work_us = math.fsum(each.work_us for each in asks) / len(asks)
+    busy = work_us * len(asks) / (given.seconds * 1e6 * run.capacity)
+    assert run.recorder.all.asked == run.recorder.latency.get_total_count() > 0
+    return run.recorder.latency.get_mean_value() / work_us - 1.0, busy
+
+
+def erlang_c(servers: int, load: float) -> float:
+    """The chance to wait in M/M/c with this load in erlangs (Erlang, 1917)."""
+    blocked = 1.0
+    for count in range(1, servers + 1):
+        blocked = load * blocked / (count + load * blocked)
+    return blocked / (1.0 - load / servers * (1.0 - blocked))
+
+
+def test_waiting_times_agree_with_erlang_c() -> None:
+    cores = 4
+    given = world(
+        seconds=3_000.0, classes=[PATIENT], load={"utilisation": 0.7},
+        fleet={"servers": 1, "sidecars": 1, "queue_per_core": 1_000_000,
+               "kinds": [{"name": "k", "cores": cores}]}, **QUIET,
+    )  # fmt: skip
+    runs = [mean_wait(given, "random", seed) for seed in (1, 2, 3)]
+    expected = [erlang_c(cores, cores * busy) / (cores * (1.0 - busy)) for _, busy in runs]
+    assert sum(wait for wait, _ in runs) == pytest.approx(sum(expected), rel=0.03)
+
+
+def test_two_choices_agree_with_the_mean_field() -> None:
+    # Mitzenmacher's limit: the mean time is the sum of busy ** (2 ** i - 2) over i from 1.
+    given = world(
+        seconds=120.0, classes=[PATIENT], load={"utilisation": 0.8},
+        fleet={"servers": 200, "sidecars": 1, "queue_per_core": 1_000_000,
+               "kinds": [{"name": "k", "cores": 1}]}, **QUIET,
+    )  # fmt: skip
+    wait, busy = mean_wait(given, "least-of-2", 1)
+    assert wait == pytest.approx(sum(busy ** (2**i - 2) for i in range(2, 12)), rel=0.03)
+    # Random choice is M/M/1 at each server, and far from it: the test tells policies apart.
+    assert mean_wait(msgspec.structs.replace(given, seconds=40.0), "random", 1)[0] > 2.0 * wait
+
+
+# One server by itself
+
+
+def server(**fleet_changes: Any) -> OrderServer:
+    given = world(fleet={"servers": 1, "kinds": [{"name": "k", "cores": 2}], **fleet_changes})
+    found = fleet.build(given, 1, Ledger(given))[0]
+    found._on_begin = lambda *_: False
+    return found
+
+
+def job(number: int = 1, work_us: float = 100_000.0, key: int | None = None) -> Job:
+    return Job(number, 0, work_us, 20_000.0, key)
+
+
+def test_a_full_room_turns_away_unseen_and_a_cancelled_place_is_free_again() -> None:
+    one = server(queue_per_core=1)
+    jobs = [job(number) for number in range(6)]
+    verdicts = [one.offer(0, each, 1.0)[0] for each in jobs]
+    assert verdicts == [Verdict.TAKEN] * 4 + [Verdict.FULL] * 2
+    one.cancelled(10, jobs[2])
+    assert one.offer(10, job(7), 1.0)[0] is Verdict.TAKEN
+    begun = one.finished(100_000, jobs[0])
+    assert begun == [jobs[3]] and jobs[2].stage is Stage.OVER  # first come, first served
+
+
+def test_a_crowded_server_chokes_and_gets_well_only_when_it_rests() -> None:
+    choke = {"at": 2.0, "over_s": 1.0, "slower": 3.0, "rest_s": 1.0, "below": 0.5, "most_s": 60.0}
+    one = server(choke=choke)
+    jobs = [job(number) for number in range(7)]  # two run, five wait: more than two a core
+    for each in jobs:
+        one.offer(0, each, 1.0)
+    one.finished(999_999, jobs[0])  # four wait, which is not more than two a core: it starts anew
+    assert not one.is_choked
+    late = [job(number) for number in range(10, 13)]
+    for each in late:
+        one.offer(1_000_000, each, 1.0)
+    one.offer(1_999_999, job(20), 1.0)
+    assert not one.is_choked
+    one.offer(2_000_000, job(21), 1.0)
+    assert one.is_choked and one.pace(2_000_000) == pytest.approx(one.speed / 3.0)
+    for each in [*one._running, *one._queue]:
+        one.cancelled(3_000_000, each)
+    busy = job(30)
+    one.offer(3_500_000, busy, 1.0)  # one of two slots busy is not below half: no rest
+    one.finished(3_800_000, busy)
+    one.report(4_799_999)
+    assert one.is_choked
+    one.report(4_800_000)
+    assert not one.is_choked and one.choked_us == 2_800_000
+
+
+def test_a_cold_server_warms_evenly_and_falls_over_when_pushed() -> None:
+    one = server(cold_from=0.2, cold_s=10.0, fall_multiple=2.0, fall_s=1.0)
+    fallen: list[dict[int, float]] = []
+    one.fell = lambda server, started_at, by: fallen.append(by)
+    one.crash(0)
+    one.start(1_000_000)
+    warmths = [one.warmth(1_000_000 + s * 1_000_000) for s in (0, 5, 10, 99)]
+    assert warmths == pytest.approx([0.2, 0.6, 1.0, 1.0])
+    # 2 cores at a fifth, twice that for a second: 0.8 s of work, and three mean requests (20 ms) for chance.
+    for number in range(43):
+        one.offer(1_000_000, job(number), 1.0)
+    assert not one.has_fallen
+    one.offer(1_000_000, job(50), 1.0)
+    assert one.has_fallen and fallen[0][0] == pytest.approx(44 * 20_000)
+    assert one.offer(1_000_001, job(51), 1.0)[0] is Verdict.SILENT
+
+
+def test_a_key_met_lately_costs_less() -> None:
+    one = server(affinity={"gain": 0.5, "span_s": 2.0, "keys_per_core": 1})
+    spans = []
+    for now, key in ((0, 1), (200_000, 1), (400_000, 2), (600_000, 3), (800_000, 1), (3_000_000, 1)):
+        each = job(key=key)
+        one.offer(now, each, 1.0)
+        spans.append(each.until - now)
+        one.finished(each.until, each)
+    # Known; forgotten for two newer keys; known, but too long ago.
+    assert spans == [100_000, 50_000, 100_000, 100_000, 100_000, 100_000]
+
+
+def test_what_a_hanging_server_swallowed_is_lost_and_a_crash_names_all_it_had() -> None:
+    one = server()
+    first, second = job(1), job(2)
+    one.offer(0, first, 1.0)
+    one.hang(10)
+    assert one.offer(20, second, 1.0) == (Verdict.SILENT, [])
+    one.unhang(30)
+    assert second.stage is Stage.OVER and first.stage is Stage.RUNNING
+    assert one.crash(40) == [first] and not one.is_up
--- a/tulipnotch/cli/lab.py
+++ b/tulipnotch/cli/lab.py
@@ -7,6 +7,18 @@
 from tulipnotch.cli.root import LazyGroup, examples
 
 
-@click.group(cls=LazyGroup, places={}, epilog=examples("tulipnotch lab --help"))
+@click.group(
+    cls=LazyGroup,
+    places={
+        "list": ("tulipnotch.cli.lab_run", "list_scenarios"),
+        "run": ("tulipnotch.cli.lab_run", "run"),
+        "compare": ("tulipnotch.cli.lab_run", "compare"),
+    },
+    epilog=examples(
+        "tulipnotch lab list",
+        "tulipnotch lab run crash --seeds 8",
+        "tulipnotch lab compare found/module found/random",
+    ),
+)
 def lab() -> None:
     """A model of the platform, in virtual and in real time."""
--- /dev/null
+++ b/tulipnotch/lab/fleet.py
@@ -0,0 +1,82 @@
+"""Builds the fleet of a scenario: the same servers in both times, from the same seed."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Callable
+from typing import Protocol
+
+from tulipnotch.lab.directory import Directory, Line
+from tulipnotch.lab.load import stream
+from tulipnotch.lab.scenario import Scenario
+from tulipnotch.lab.server import Job, OrderServer
+
+
+class Witness(Protocol):
+    """Who is told of begins and falls: the ledger, or whoever writes them down for it."""
+
+    def begun(self, request: int, zone: str, cell: int, now: int) -> bool: ...
+
+    def fell(self, server: str, started_at: int, work_by_sidecar: dict[int, float]) -> None: ...
+
+
+def build(given: Scenario, seed: int, ledger: Witness) -> list[OrderServer]:
+    """All servers, warm; kinds by their shares, zones in turn, speeds drawn.  Begins go to the ledger."""
+    chance = stream(seed, "fleet")
+    fleet = given.fleet
+
+    def on_begin(server: OrderServer, job: Job, now: int) -> bool:
+        return ledger.begun(job.request, server.zone, server.cell, now)
+
+    def fell(server: OrderServer, started_at: int, by_sidecar: dict[int, float]) -> None:
+        ledger.fell(server.name, started_at, by_sidecar)
+
+    kinds = [kind for kind in fleet.kinds for _ in range(round(1_000 * kind.share))]
+    kinds = [kinds[int((place + 0.5) * len(kinds) / fleet.servers)] for place in range(fleet.servers)]
+    chance.shuffle(kinds)
+    servers = []
+    for place, kind in enumerate(kinds):
+        spread = math.log1p(kind.speed_cv**2)
+        speed = kind.speed * (chance.lognormvariate(-spread / 2.0, math.sqrt(spread)) if spread else 1.0)
+        zone = fleet.zones[place % len(fleet.zones)]
+        server = OrderServer(
+            f"s-{place:03}",
+            zone,
+            place // fleet.cell_size,
+            kind,
+            speed,
+            fleet,
+            given.mean_work_s * 1e6,
+            on_begin,
+        )
+        server.fell = fell
+        servers.append(server)
+    return servers
+
+
+def capacity(servers: list[OrderServer]) -> float:
+    """What they can do when warm, in seconds of standard work a second."""
+    return sum(each.cores * each.speed for each in servers)
+
+
+def directory(servers: list[OrderServer]) -> Directory:
+    return Directory([Line(each.name, each.zone, each.kind, each.cell) for each in servers])
+
+
+class Notices:
+    """Which change of a server reaches the list, and after how long; `publish` carries it out."""
+
+    def __init__(self, given: Scenario, after: Callable[[int, Callable[[], None]], None]) -> None:
+        self._given = given.discovery
+        self._after = after
+        self._latest: dict[str, int] = {}
+
+    def notice(self, name: str, wait_s: float, publish: Callable[[], None]) -> None:
+        """Publish after this wait, unless something newer of this server was noticed meanwhile."""
+        number = self._latest[name] = self._latest.get(name, 0) + 1
+
+        def due() -> None:
+            if self._latest[name] == number:
+                publish()
+
+        self._after(int(wait_s * 1e6), due)
--- a/tulipnotch/lab/scenario.py
+++ b/tulipnotch/lab/scenario.py
@@ -8,6 +8,7 @@
 
 import operator
 import re
+import tomllib
 from collections.abc import Callable, Iterator, Mapping
 from dataclasses import dataclass
 from importlib import resources
@@ -265,14 +266,41 @@
 
 
 def load(path: Path) -> Scenario:
-    """Read and check a scenario; raise `BadFile` with all of its faults."""
-    checked = read_toml(path, Scenario)
+    """Read and check a scenario; raise `BadFile` with all of its faults.
+
+    `extends = "NAME"` takes over what the file leaves out from a shipped scenario, but not what is expected:
+    tables are merged key by key, lists are replaced whole.
+    """
+    checked = read_toml(path, Scenario, _extended)
     faults = list(_across(checked))
     if faults:
         raise BadFile(str(path), faults)
     return checked.value
 
 
+def _extended(given: dict[str, Any]) -> dict[str, Any]:
+    if "extends" not in given:
+        return given
+    base, known = given.pop("extends"), shipped()
+    if not isinstance(base, str) or base not in known:
+        raise ValueError(f"extends: {base!r:.40} is no shipped scenario{nearest(str(base), known)}")
+    below = _extended(tomllib.loads(known[base].read_text(encoding="utf-8")))
+    for key in ("expect", "faults", "about"):
+        below.pop(key, None)
+    return _merged(below, given)
+
+
+def _merged(below: dict[str, Any], above: Mapping[str, Any]) -> dict[str, Any]:
+    found = dict(below)
+    for key, value in above.items():
+        known = found.get(key)
+        found[key] = _merged(known, value) if isinstance(known, dict) and isinstance(value, dict) else value
+    for one, other in (("rate", "utilisation"), ("utilisation", "rate")):
+        if one in above and other not in above:
+            found.pop(other, None)  # one of the two, and the file's own counts
+    return found
+
+
 def _across(checked: Checked[Scenario]) -> Iterator[Fault]:
     """What no single table can tell."""
     given = checked.value
@@ -330,7 +358,7 @@
     }
     names |= {f"latency.{each}" for each in _OF_CLASS if each.startswith("p")}
     names |= {
-        "crossed_zones",
+        "crossings_per_request",
         "handshakes_per_request",
         "probes_per_request",
         "choked_s",
--- a/tulipnotch/settings/check.py
+++ b/tulipnotch/settings/check.py
@@ -10,7 +10,7 @@
 import re
 import tomllib
 import types
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any, Generic, TypeVar, Union, get_args, get_origin, get_type_hints
@@ -53,8 +53,15 @@
         return Fault(line_of(self.lines, key), key, text)
 
 
-def read_toml(path: Path, kind: type[T]) -> Checked[T]:
-    """Read a file of at most 1 MiB as `kind`; raise BadFile with all its faults."""
+Prepare = Callable[[dict[str, Any]], dict[str, Any]]
+
+
+def read_toml(path: Path, kind: type[T], prepare: Prepare | None = None) -> Checked[T]:
+    """Read a file of at most 1 MiB as `kind`; raise BadFile with all its faults.
+
+    `prepare` may complete the tables before they are checked; a ValueError of it, worded `key: text`, is a
+    fault.
+    """
     try:
         raw = path.read_bytes()
     except OSError as fault:
@@ -71,6 +78,12 @@
         raise BadFile(str(path), [Fault(int(found[1]) if found else 0, "", str(fault))]) from None
     lines = toml_lines(text)
     faults: list[Fault] = []
+    if prepare is not None:
+        try:
+            given = prepare(given)
+        except ValueError as fault:
+            key, _, told = str(fault).partition(": ")
+            raise BadFile(str(path), [Fault(line_of(lines, key), key, told)]) from None
     value = convert(given, kind, "", lines, faults)
     if faults or value is None:
         raise BadFile(str(path), faults)
