Play scenarios against real sidecar processes: stand-ins, generator, lab up, overhead

Virtual time says nothing of sockets, processes and signals. The same scenario now also runs in real time: order servers and discovery on loopback (an address for each server and sidecar, so that the platform knows who sends), an open-loop generator whose lateness is recorded and makes a run invalid, real `tulipnotch.sidecar` processes, and the same ledger, which replays what stand-ins and clients noted. `lab up` keeps the platform up with a live table; `lab overhead` compares a sidecar with a bare byte forwarder; `make demo` plays a scenario.

Five sidecars with planted defects (forgets, invents, doubles, deaf to drains, rushes cold servers) are caught, a sound one is not.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 VENV ?= .venv
 BIN = $(VENV)/bin
 
-.PHONY: setup test lint check
+.PHONY: setup demo test lint check
 
 setup: $(BIN)/ruff
 
@@ -10,6 +10,9 @@
 	$(BIN)/pip install -q --disable-pip-version-check -c constraints.txt -e '.[dev]'
 	touch $(BIN)/ruff
 
+demo: setup
+	$(BIN)/tulipnotch lab run demo --time real --out found/demo
+
 test: setup
 	$(BIN)/python -m pytest
 
--- /dev/null
+++ b/tests/lab/broken_sidecar.py
@@ -0,0 +1,69 @@
+"""A sidecar with one defect that its first argument names; `none` is sound."""
+
+from __future__ import annotations
+
+import sys
+from typing import Any
+
+from tulipnotch.decisions.balancer import Balancer
+from tulipnotch.decisions.interface import RequestArrived, ServerState
+from tulipnotch.sidecar import discovery
+from tulipnotch.sidecar.__main__ import main
+from tulipnotch.sidecar.sidecar import Sidecar
+from tulipnotch.sidecar.upstream import Call, Upstream
+
+
+def forgets() -> None:
+    """Some requests are taken and never heard of again."""
+    post = Sidecar._post
+
+    def broken(self: Sidecar, event: Any) -> None:
+        if not (isinstance(event, RequestArrived) and event.request % 20 == 0):
+            post(self, event)
+
+    Sidecar._post = broken  # type: ignore[method-assign]
+
+
+def invents() -> None:
+    """Some clients are served with what no server made."""
+    answer = Sidecar._answer
+
+    def broken(self: Sidecar, request: int, status: int, headers: Any, body: bytes = b"", *rest: Any) -> None:
+        answer(self, request, status, headers, b"invented" if request % 20 == 0 else body, *rest)
+
+    Sidecar._answer = broken  # type: ignore[method-assign,assignment]
+
+
+def doubles() -> None:
+    """Every attempt goes out twice."""
+    start = Upstream.start
+
+    def broken(self: Upstream, call: Call) -> None:
+        start(self, call)
+        start(self, Call(call.server, call.until, call.message, lambda *_: None))
+
+    Upstream.start = broken  # type: ignore[method-assign]
+
+
+def deaf() -> None:
+    """Word of a drain is taken for word of health."""
+    discovery._STATES["leaving"] = ServerState.READY
+
+
+def rushes() -> None:
+    """All goes to whoever started last."""
+    choose = Balancer._choose
+
+    def broken(self: Balancer, request: Any) -> Any:
+        started = [each for each in self._ready if each.started_at]
+        newest = max(started, key=lambda each: each.started_at or 0, default=None)
+        return newest if newest is not None else choose(self, request)
+
+    Balancer._choose = broken  # type: ignore[method-assign]
+    Balancer._cold_room = lambda *_: True  # type: ignore[method-assign]
+
+
+if __name__ == "__main__":
+    if sys.argv[1] != "none":
+        globals()[sys.argv[1]]()
+    sys.exit(main())
--- a/tests/lab/test_model.py
+++ b/tests/lab/test_model.py
@@ -124,7 +124,7 @@
 
 
 def test_a_cold_server_warms_evenly_and_falls_over_when_pushed() -> None:
-    one = server(cold_from=0.2, cold_s=10.0, fall_multiple=2.0, fall_s=1.0)
+    one = server(cold_from=0.2, cold_s=10.0, cold_spread=0.0, fall_multiple=2.0, fall_s=1.0)
     fallen: list[dict[int, float]] = []
     one.fell = lambda server, started_at, by: fallen.append(by)
     one.crash(0)
--- a/tulipnotch/cli/lab.py
+++ b/tulipnotch/cli/lab.py
@@ -13,10 +13,14 @@
         "list": ("tulipnotch.cli.lab_run", "list_scenarios"),
         "run": ("tulipnotch.cli.lab_run", "run"),
         "compare": ("tulipnotch.cli.lab_run", "compare"),
+        "up": ("tulipnotch.cli.lab_real", "up"),
+        "overhead": ("tulipnotch.cli.lab_real", "overhead"),
     },
     epilog=examples(
         "tulipnotch lab list",
+        "tulipnotch lab up crash",
         "tulipnotch lab run crash --seeds 8",
+        "tulipnotch lab run calm --time real --out found/calm",
         "tulipnotch lab compare found/module found/random",
     ),
 )
--- a/tulipnotch/cli/lab_run.py
+++ b/tulipnotch/cli/lab_run.py
@@ -60,10 +60,11 @@
     epilog=examples(
         "tulipnotch lab run calm",
         "tulipnotch lab run crash --seeds 8 --policy least-of-2 --out found/crash",
-        "tulipnotch lab run my.toml --seed 7 --json",
+        "tulipnotch lab run my.toml --time real --seed 7",
     )
 )
 @click.argument("name", metavar="SCENARIO")
+@click.option("--time", "kind", type=click.Choice(("virtual", "real")), default="virtual", show_default=True)
 @click.option("--seed", type=click.IntRange(min=0), help="The first seed, in place of the scenario's.")
 @click.option("--seeds", type=click.IntRange(1, 1_000), default=1, show_default=True, help="How many.")
 @click.option("--policy", type=click.Choice(list(POLICIES)), default="module", show_default=True)
@@ -75,6 +76,7 @@
 @click.option("--quiet", is_flag=True, help="No progress bar.")
 def run(
     name: str,
+    kind: str,
     seed: int | None,
     seeds: int,
     policy: str,
@@ -91,7 +93,9 @@
     given = load(name)
     first = given.seed if seed is None else seed
     wanted = list(range(first, first + seeds))
-    folder = out or Path("found") / f"{given.name}-{policy}-virtual"
+    if kind == "real" and policy != "module":
+        raise click.UsageError("real sidecars run the module: --policy goes with --time virtual")
+    folder = out or Path("found") / f"{given.name}-{policy}-{kind}"
     bar = Progress(
         TextColumn("{task.description}"), BarColumn(), TextColumn("{task.percentage:>3.0f} %"),
         TimeElapsedColumn(), TimeRemainingColumn(), console=Console(stderr=True),
@@ -104,8 +108,11 @@
         def progress(done: float) -> None:
             bar.update(task, completed=done)
 
-        cores = processes or len(os.sched_getaffinity(0))
-        result = play.all_seeds(given, policy, wanted, cores, progress)
+        if kind == "virtual":
+            cores = processes or len(os.sched_getaffinity(0))
+            result = play.all_seeds(given, policy, wanted, cores, progress)
+        else:
+            result = in_real_time(given, wanted, progress)
     took = time.perf_counter() - began
     folder.mkdir(parents=True, exist_ok=True)
     results.write(result, folder / "result.json")
@@ -122,6 +129,19 @@
     sys.exit(0 if result.holds else 1)
 
 
+def in_real_time(
+    given: scenario.Scenario, seeds: list[int], progress: play.Progress | None
+) -> results.Result:
+    """Play against real processes; if the platform fails, say how in one line and exit with 1."""
+    from tulipnotch.lab.real import play as real  # sockets and processes, only where they are used
+
+    try:
+        return real.all_seeds(given, seeds, progress)
+    except real.LabFault as fault:
+        click.echo(f"the platform failed: {fault}", err=True)
+        sys.exit(1)
+
+
 def _show(result: results.Result, folder: Path, took: float) -> None:
     for metric in _SHOWN:
         low, high = min(result.values(metric)), max(result.values(metric))
--- a/tulipnotch/lab/fleet.py
+++ b/tulipnotch/lab/fleet.py
@@ -50,6 +50,9 @@
             on_begin,
         )
         server.fell = fell
+        sooner = 1.0 + fleet.cold_spread * chance.random()
+        server.cold_from = min(fleet.cold_from * sooner, 1.0)
+        server.cold_s = fleet.cold_s / sooner
         servers.append(server)
     return servers
 
--- a/tulipnotch/lab/ledger.py
+++ b/tulipnotch/lab/ledger.py
@@ -54,6 +54,13 @@
         if len(self.breaches[rule]) < _EXAMPLES:
             self.breaches[rule].append(text)
 
+    def forget(self, before: int) -> None:
+        """Let go of requests that last took effect before this time, for a platform that runs on and on."""
+        old = [request for request, effects in self._effects.items() if effects and effects[-1][0] < before]
+        for request in old:
+            del self._effects[request]
+            self._taken.pop(request, None)
+
     def __contains__(self, request: int) -> bool:
         return request in self._taken
 
--- a/tulipnotch/lab/scenario.py
+++ b/tulipnotch/lab/scenario.py
@@ -66,8 +66,9 @@
     queue_per_core: Annotated[int, Meta(ge=0, le=1_000_000)] = (
         30  # the waiting room; beyond it all is turned away
     )
-    cold_from: Annotated[float, Meta(gt=0.0, le=1.0)] = 0.2  # of its capacity, at its start
-    cold_s: Positive = 15.0  # to the full, evenly
+    cold_from: Annotated[float, Meta(gt=0.0, le=1.0)] = 0.15  # of its capacity at its start, at the least
+    cold_s: Positive = 22.0  # to the full, evenly, at the most
+    cold_spread: NotNegative = 0.7  # each server starts with up to this much more, and warms as much sooner
     fall_multiple: Positive = 2.5  # sent more than this multiple of what a cold server can do
     fall_s: Positive = 1.0  # within this span, it falls over and stays down
     error_rate: Part = 0.0
--- a/tulipnotch/lab/server.py
+++ b/tulipnotch/lab/server.py
@@ -69,6 +69,7 @@
     ) -> None:
         self.name, self.zone, self.cell, self.kind, self.speed = name, zone, cell, kind.name, speed
         self.cores = kind.cores
+        self.cold_from, self.cold_s = fleet.cold_from, fleet.cold_s
         self.is_up = True
         self.is_leaving = False
         self.has_fallen = False
@@ -115,8 +116,8 @@
         """The part of its capacity that it has, 0 to 1; rises evenly from `cold_from` over `cold_s`."""
         if self.started_at is None:
             return 1.0
-        gone = (now - self.started_at) / (self._fleet.cold_s * 1e6)
-        return min(self._fleet.cold_from + (1.0 - self._fleet.cold_from) * max(gone, 0.0), 1.0)
+        gone = (now - self.started_at) / (self.cold_s * 1e6)
+        return min(self.cold_from + (1.0 - self.cold_from) * max(gone, 0.0), 1.0)
 
     def pace(self, now: int) -> float:
         """Work on a standard core that one of its cores does in the same time."""
