--- a/benchmarks/lab.py
+++ b/benchmarks/lab.py
@@ -91,7 +91,8 @@
     )
     run = real.one_seed(given, 1)
     late = run.lateness_ms
-    print(f"{run.metrics['requests']:.0f} requests at 3,000 a second: p50 {late['p50']} ms, p99 {late['p99']} ms")
+    requests = run.metrics["requests"]
+    print(f"{requests:.0f} requests at 3,000 a second: p50 {late['p50']} ms, p99 {late['p99']} ms late")
 
 
 if __name__ == "__main__":
