Let the overload level go by twice the idle time, and react before answers are late

The window now shrinks as soon as the typical answer passes its level, in a fifth of an aim; the level is 0.15 of the aim or twice what the idle fleet takes, 0.25 at most. Zones even out by a constant of their own; two guards that were then dead are gone. Retries stay as they were: the smaller budget tried before is less than one retry, and had switched them off.

--- a/tulipnotch/decisions/balancer.py
+++ b/tulipnotch/decisions/balancer.py
@@ -60,6 +60,7 @@
 REMOTE_LEAST = 0.25  # odds of a server in another zone while the own zone is as quick
 REMOTE_EVEN = 0.3  # the own zone this far behind the others' pace, all zones are drawn alike
 REMOTE_SPENT = 0.12  # or the typical answer at twice this part of its aim
+REMOTE_LATE = 0.05  # or this part of the answers comes late
 EXTRA_PER_REQUEST = 0.2  # further attempts after failures, for each first attempt: no retry storms
 EXTRA_SAVED = 50.0  # first attempts whose allowance may be saved up
 SPOILT_STRIKES = (
@@ -84,24 +85,22 @@
 STALE_STEP_BACK = 0.3  # an answer on one speaks against it, but some servers may keep theirs
 STALE_AIMS = 16.0  # what was learnt of idle connections fades in this many of the longest aim
 STALE_ODDS = 0.25  # from these odds on, idle connections are not relied on
-GHOST_LIFE = 1.0  # an attempt given up on counts as in flight for as long again as it was waited for
+GHOST_LIFE = 0.3  # an attempt given up on counts as in flight for as long again as it was waited for
 HEAVY_POWER = 3.0  # of pace, in the odds for a request of four times the mean cost or more
 PACE_STEP = 0.1  # a server's pace follows its last ten answers or so, or fewer where few are in flight
 PACE_CLIP = 4.0  # one answer counts for at most this many usual ones: heavy requests say little of a server
 NORM_STEP = 0.02  # the usual time and cost of a class follow its last fifty requests or so
 UNSEEN_AIMS = 0.3  # the usual time before any answer, in aims
-AIM_SPENT = 0.3  # the typical answer may take this part of its aim; beyond that the fleet is overloaded
+AIM_SPENT = 0.15  # the typical answer may take this part of its aim; beyond that the fleet is overloaded
 AIM_SPENT_FEW = 0.4  # or this, where so few are in flight that much of the typical is chance
-FLOOR_ROOM = 1.2  # but never less than this many times what it takes when the fleet is idle
-AIM_SPENT_MOST = 0.5  # and never more than this part of the aim, or overload would pass for the usual
+FLOOR_ROOM = 2.0  # but never less than this many times what it takes when the fleet is idle
+AIM_SPENT_MOST = 0.25  # and never more than this part of the aim, or overload would pass for the usual
 SPENT_MOST = 1.0  # the typical is not followed past the aim: from there it must find back
 LEAST_WINDOW = 0.1  # a trickle passes at any time, so that relief is seen
 MANY = 8.0  # fewer own requests in flight than this are chance for a good part
 STRETCH_MOST = 4.0  # so the fewer, the longer loads are averaged and the larger the steps, up to this
-LATE_ALLOWED = 0.05  # nor is a fleet overloaded that answers all but this part in time
 LATE_STEP = 0.02  # of the last fifty answers or so
 CORES_BUSY = 0.85  # while servers report their cores less busy than this, there is room for more
-CORES_SATURATED = 0.95  # cores this busy tell of overload before late answers do
 CORES_STEP = 0.1  # of the last ten reports or so
 FLOOR_CREEP = 0.0008  # the idle time may rise by this part of the aim at each answer
 FLOOR_CREEP_PRESSED = 0.00008  # and hardly while refusing
@@ -109,7 +108,7 @@
 TYPICAL_STEP = 0.06  # the typical answer is the geometric mean of the last fifteen or so
 SPENT_LEAST = 0.02  # of the aim; what is quicker tells nothing more
 LOST_SPENT = 2.0  # what a request lost to full or overdue counts as, in aims: late by far
-WINDOW_AIMS = 0.5  # at twice the level the window shrinks e-fold in this many of the longest aim
+WINDOW_AIMS = 0.2  # at twice the level the window shrinks e-fold in this many of the longest aim
 MIX_AIMS = 4.0  # what is asked by class and tenant is averaged over this many of the longest aim
 FREE = 0.5  # up to this part of the window all are let in, and the window does not grow
 RETRY_AIMS = 0.15  # a refused client is told to come back in about this part of its aim
@@ -582,9 +581,6 @@
             # A busy balancer sees so by itself, and on crowded servers reports tell it too late.
             excess = min(excess, (self._cores - CORES_BUSY) / (1.0 - CORES_BUSY))
         excess = max(-1.0, min(excess, 1.0))
-        saturated = self._cores is not None and self._cores >= CORES_SATURATED
-        if excess > 0.0 and self._late < LATE_ALLOWED and not saturated:
-            return  # slower than usual, yet in time
         if excess > 0.0:
             self._window = min(self._window, max(load, self._mean_load / FREE))
         elif not self._bound:
@@ -771,7 +767,7 @@
         return self._remote
 
     def _weigh_zones(self) -> float:
-        if self._settings.prices.cross_zone <= 0.0 or self._late >= LATE_ALLOWED or self._fill() > FREE:
+        if self._settings.prices.cross_zone <= 0.0 or self._late >= REMOTE_LATE or self._fill() > FREE:
             return 1.0  # room anywhere is worth more than a crossing
         near = far = 0.0
         near_count = far_count = 0
