--- a/tulipnotch/lab/ledger.py
+++ b/tulipnotch/lab/ledger.py
@@ -45,6 +45,7 @@
         self._leaving: dict[tuple[int, str], int] = {}  # by sidecar and server: when it was told so
         self._told_start: dict[tuple[int, str], int] = {}  # by sidecar and server: the start last told of
         self._published: dict[str, tuple[bool, int]] = {}  # by server: whether it leaves, and since when
+        self._away: set[int] = set()  # sidecars that were killed and do not listen yet
         self._asked: dict[int, int | None] = {}  # by sidecar: when it last asked; None: it watches
         self.counts = dict.fromkeys(RULES, 0)
         self.breaches: dict[str, list[str]] = {rule: [] for rule in RULES}
@@ -68,7 +69,8 @@
 
     def taken(self, request: int, sidecar: int, kind: ServiceClass, now: int, wait_us: int) -> None:
         """The request's last byte reached its sidecar; its client waits this long."""
-        self._taken[request] = _Taken(sidecar, kind, now + wait_us)
+        held = self._taken[request] = _Taken(sidecar, kind, now + wait_us)
+        held.is_over = sidecar in self._away  # written to a connection whose end had not been noticed yet
 
     def answered(self, request: int, now: int, *, refused: bool = False) -> None:
         held = self._taken.get(request)
@@ -95,6 +97,7 @@
 
     def killed(self, sidecar: int) -> None:
         """The sidecar was killed: what it held is lost with it, and it has been told nothing."""
+        self._away.add(sidecar)
         for held in self._taken.values():
             if held.sidecar == sidecar and not held.answers:
                 held.is_over = True
@@ -104,6 +107,10 @@
             del self._told_start[key]
         self._asked.pop(sidecar, None)
 
+    def back(self, sidecar: int) -> None:
+        """The sidecar that was killed listens again: it owes answers from here on."""
+        self._away.discard(sidecar)
+
     # What servers saw
 
     def begun(self, request: int, zone: str, cell: int, now: int) -> bool:
--- a/tulipnotch/lab/virtual.py
+++ b/tulipnotch/lab/virtual.py
@@ -374,6 +374,7 @@
             self.settings, stream(world.seed, "sidecar", self.place, self._life).getrandbits(48), world
         )
         known = world.discovery.directory.whole() if self._life == 0 else self._remembered()
+        world.ledger.back(self.place)
         world.ledger.asked(self.place, self.engine.now)
         self.version = world.discovery.directory.version if self._life == 0 else self.version
         self._listed = {each.name: _STATES[each.state] for each in known}
