Share the faults of a server between virtual and real time

Both times had the same five cases for hanging, failing, slowing and spoiling servers. One function beside the time line now serves both.

--- a/tulipnotch/lab/faults.py
+++ b/tulipnotch/lab/faults.py
@@ -9,6 +9,7 @@
 
 from tulipnotch.lab.load import stream
 from tulipnotch.lab.scenario import FaultLine, Scenario
+from tulipnotch.lab.server import Job, OrderServer
 
 
 @unique
@@ -50,6 +51,22 @@
     return sorted(found, key=lambda each: each.at)
 
 
+def strike(server: OrderServer, incident: Incident, now: int) -> list[Job]:
+    """Do to a server what leaves its process and its place in the list alone; give the jobs that begin."""
+    match incident.deed:
+        case Deed.HANG:
+            server.hang(now)
+        case Deed.UNHANG:
+            return server.unhang(now)
+        case Deed.FAIL:
+            server.fails = incident.value
+        case Deed.SLOW:
+            server.slowed = incident.value
+        case Deed.GARBLE:
+            server.spoils = incident.value
+    return []
+
+
 _WHILE = {
     "crash": (Deed.CRASH, Deed.START, 0.0),
     "hang": (Deed.HANG, Deed.UNHANG, 0.0),
--- a/tulipnotch/lab/real/backend.py
+++ b/tulipnotch/lab/real/backend.py
@@ -26,7 +26,7 @@
 
 from tulipnotch.lab import fleet
 from tulipnotch.lab.directory import Line, Listed, entry
-from tulipnotch.lab.faults import Deed, Incident, plan
+from tulipnotch.lab.faults import Deed, Incident, plan, strike
 from tulipnotch.lab.ledger import Ledger
 from tulipnotch.lab.load import stream
 from tulipnotch.lab.scenario import Scenario
@@ -160,16 +160,6 @@
             case Deed.DRAIN:
                 self._notice(server, discovery.drain_notice_s, Listed.LEAVING)
                 self.loop.call_later(discovery.drain_notice_s + 0.5, self._refuse_new, server)
-            case Deed.HANG:
-                server.hang(now)
-            case Deed.UNHANG:
-                stand.begin(server.unhang(now))
-            case Deed.FAIL:
-                server.fails = incident.value
-            case Deed.SLOW:
-                server.slowed = incident.value
-            case Deed.GARBLE:
-                server.spoils = incident.value
             case Deed.DIRECTORY_DOWN:
                 self.call_queue.is_up = False
                 for each in self.discovery:
@@ -180,6 +170,8 @@
                 self.cut_zones.add(incident.zone)
             case Deed.JOIN:
                 self.cut_zones.discard(incident.zone)
+            case _:
+                stand.begin(strike(server, incident, now))
         about = incident.zone or (server.name if incident.target >= 0 else "")
         self.timeline.append((round(now / 1e6, 3), f"{incident.deed.value} {about}".strip()))
 
--- a/tulipnotch/lab/virtual.py
+++ b/tulipnotch/lab/virtual.py
@@ -40,7 +40,7 @@
 from tulipnotch.lab import fleet
 from tulipnotch.lab.directory import Line, Listed
 from tulipnotch.lab.engine import Engine
-from tulipnotch.lab.faults import Deed, Incident, plan
+from tulipnotch.lab.faults import Deed, Incident, plan, strike
 from tulipnotch.lab.ledger import Ledger
 from tulipnotch.lab.load import Ask, Ending, arrivals, comes_again, rates, stream, try_wait_us
 from tulipnotch.lab.recorder import Recorder
@@ -194,16 +194,6 @@
                 self._notice(server, discovery.drain_notice_s, Listed.LEAVING)
                 # It turns new work away only once word of it had time to travel.
                 self.engine.after(int(discovery.drain_notice_s * 1e6) + 500_000, self._refuse_new, server)
-            case Deed.HANG:
-                server.hang(now)
-            case Deed.UNHANG:
-                self.begun(server, server.unhang(now))
-            case Deed.FAIL:
-                server.fails = incident.value
-            case Deed.SLOW:
-                server.slowed = incident.value
-            case Deed.GARBLE:
-                server.spoils = incident.value
             case Deed.DIRECTORY_DOWN:
                 self.discovery.fall()
             case Deed.DIRECTORY_UP:
@@ -214,6 +204,8 @@
                 self.cut_zones.discard(incident.zone)
             case Deed.RESTART:
                 self.sidecars[incident.target].kill()
+            case _:
+                self.begun(server, strike(server, incident, now))
         what = incident.zone or (
             f"sidecar {incident.target}" if incident.deed is Deed.RESTART else server.name
         )
