Share the caller's end of the door and the start of a real run; look a class up once

A second reading found three things written twice: the client of the operators' door (`ctl` and `lab up`; it is now sidecar/door.py, with the bounds that only `ctl` had), the order to start (three copies of one lead, now Platform.start), and two linear look-ups of a request's class at every send of the generator, now one by name. Behaviour stays.

--- a/tulipnotch/cli/ctl.py
+++ b/tulipnotch/cli/ctl.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import json
-import socket
 import sys
 import time
 
@@ -11,8 +10,8 @@
 
 from tulipnotch.cli.root import examples
 from tulipnotch.sidecar.client import Address, parse_address
+from tulipnotch.sidecar.door import ask, figures
 
-_MOST_BYTES = 1 << 20  # of an answer
 CALLS = ("readyz", "telemetry", "evacuate", "activate")
 
 
@@ -76,29 +75,3 @@
     else:
         click.echo("\n".join(line for line in lines if line != "."))
     return 0 if good else 1
-
-
-def ask(address: Address, call: str, timeout: float) -> list[str]:
-    """The lines of the door's answer; OSError if it does not come whole in time."""
-    until = time.monotonic() + timeout
-    answer = b""
-    with socket.create_connection(address, timeout) as connection:
-        connection.sendall(f"{call}\n".encode())
-        while True:
-            connection.settimeout(max(until - time.monotonic(), 0.001))
-            piece = connection.recv(1 << 16)
-            if not piece:
-                break
-            answer += piece
-            if len(answer) > _MOST_BYTES:
-                raise OSError("the answer has no end")
-    lines = answer.decode("utf-8", "replace").splitlines()
-    if not lines or not lines[0].startswith(("+OK", "-ERR")):
-        raise OSError("this is not an operators' door")
-    return lines
-
-
-def figures(lines: list[str]) -> dict[str, int]:
-    """The figures of a `telemetry` answer by name."""
-    pairs = (line.partition("=") for line in lines if "=" in line)
-    return {name: int(value) for name, _, value in pairs}
--- a/tulipnotch/lab/real/generator.py
+++ b/tulipnotch/lab/real/generator.py
@@ -50,6 +50,7 @@
         self.records: list[Record] = []
         self.ended: list[Ended] = []
         self.lateness = histogram()
+        self.places = {kind.name: place for place, kind in enumerate(given.classes)}
         per_sidecar = [
             arrivals(given, seed, place, rate) for place, rate in enumerate(rates(given, seed, capacity))
         ]
@@ -142,6 +143,7 @@
 
     def __init__(self, owner: Generator, ask: Ask, request: int, now: int, until: int) -> None:
         self.owner, self.ask, self.request, self.until = owner, ask, request, until
+        self._place = owner.places[ask.kind.name]
         self.is_over = False
         self.resent = False
         self.connection: ClientSide | None = None
@@ -155,10 +157,9 @@
     def message(self, now: int) -> bytes:
         """The request, as clients word it."""
         ask = self.ask
-        place = next(n for n, kind in enumerate(self.owner.given.classes) if kind is ask.kind)
         is_write = ask.kind.repeat != "safe"
         head = (
-            f"{'POST' if is_write else 'GET'} {target(place, ask.work_us, ask.key)} HTTP/1.1\r\n"
+            f"{'POST' if is_write else 'GET'} {target(self._place, ask.work_us, ask.key)} HTTP/1.1\r\n"
             f"Host: origin.svc\r\nRequest-Id: {self.request:016x}\r\nRequest-Class: {ask.kind.name}\r\n"
             f"Request-Timeout: {max(self.until - now, 1_000) / 1e6:.3f}\r\n"
         )
@@ -173,9 +174,8 @@
     def taken(self, now: int) -> None:
         """It goes out on a connection that the sidecar's machine accepted."""
         if not self.resent:
-            place = self.owner.given.classes.index(self.ask.kind)
             self.owner.records.append(
-                (now, "taken", self.request, self.ask.sidecar, place, max(self.until - now, 0))
+                (now, "taken", self.request, self.ask.sidecar, self._place, max(self.until - now, 0))
             )
 
     def answer(self, status: int, body: bytes, retry_after_us: int) -> None:
--- a/tulipnotch/lab/real/overhead.py
+++ b/tulipnotch/lab/real/overhead.py
@@ -11,7 +11,6 @@
 import os
 import statistics
 import sys
-import time
 from collections.abc import Sequence
 from dataclasses import dataclass
 
@@ -54,9 +53,7 @@
         clients = world.spawn(generator.main, given, seed, world.capacity, [world.sidecars[0].listen], True)
         world.receive(clients, "the generator")
         before = _cpu_s(world)
-        t0_ns = time.monotonic_ns() + 300_000_000
-        world.pipe.send(("start", t0_ns))
-        clients.send(("start", t0_ns))
+        world.start(clients)
         left = world.receive(clients, "the generator", given.seconds + 60.0)[1]
         cpu_s = _cpu_s(world) - before
     latency = histogram()
--- a/tulipnotch/lab/real/play.py
+++ b/tulipnotch/lab/real/play.py
@@ -132,6 +132,14 @@
         for each in self.sidecars:
             each.await_ready()
 
+    def start(self, clients: Connection | None) -> int:
+        """Let time begin for the stand-ins and the clients; give its 0 on the monotonic clock (ns)."""
+        t0_ns = time.monotonic_ns() + _LEAD_NS
+        for pipe in (self.pipe, clients):
+            if pipe is not None:
+                pipe.send(("start", t0_ns))
+        return t0_ns
+
     def spawn(self, main: Callable[..., None], *given: Any) -> Connection:
         ours, theirs = self._context.Pipe()
         process = self._context.Process(target=main, args=(*given, theirs), daemon=True)
@@ -208,9 +216,7 @@
             generator.main, given, seed, world.capacity, [each.listen for each in world.sidecars], True
         )
         world.receive(clients, "the generator")
-        t0_ns = time.monotonic_ns() + _LEAD_NS
-        world.pipe.send(("start", t0_ns))
-        clients.send(("start", t0_ns))
+        t0_ns = world.start(clients)
         kills = _watch(world, clients, t0_ns, progress)
         left = world.receive(clients, "the generator")[1]
         crashed = [each for each in world.sidecars if each.process is None or each.process.poll() is not None]
--- a/tulipnotch/lab/real/up.py
+++ b/tulipnotch/lab/real/up.py
@@ -2,18 +2,16 @@
 
 from __future__ import annotations
 
-import socket
-import time
 from collections.abc import Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass
-from multiprocessing.connection import Connection
 
 import msgspec
 
 from tulipnotch.lab.real import generator
 from tulipnotch.lab.real.play import Platform, SidecarProcess, platform
 from tulipnotch.lab.scenario import Scenario
+from tulipnotch.sidecar.door import ask, figures
 
 _FOR_GOOD_S = 36_000.0  # the longest that a scenario may last
 
@@ -34,8 +32,8 @@
 class Up:
     """A platform that is up."""
 
-    def __init__(self, world: Platform, clients: Connection | None) -> None:
-        self.world, self._clients = world, clients
+    def __init__(self, world: Platform) -> None:
+        self.world = world
 
     @property
     def sidecars(self) -> list[SidecarProcess]:
@@ -48,15 +46,10 @@
     def figures(self, sidecar: SidecarProcess) -> dict[str, int]:
         """What its operators' door tells; nothing where it does not answer."""
         try:
-            with socket.create_connection(sidecar.control, 0.5) as connection:
-                connection.sendall(b"telemetry\n")
-                text = b""
-                while piece := connection.recv(1 << 16):
-                    text += piece
+            lines = ask(sidecar.control, "telemetry", 0.5)
         except OSError:
             return {}
-        pairs = (line.partition("=") for line in text.decode().splitlines() if "=" in line)
-        return {name.removeprefix("app."): int(value) for name, _, value in pairs}
+        return {name.removeprefix("app."): value for name, value in figures(lines).items()}
 
 
 @contextmanager
@@ -66,16 +59,13 @@
         given = msgspec.structs.replace(given, seconds=_FOR_GOOD_S)
     with platform(given, seed, keeps=False) as world:
         clients = None
-        t0_ns = time.monotonic_ns() + 300_000_000
         if load:
             listens = [each.listen for each in world.sidecars]
             clients = world.spawn(generator.main, given, seed, world.capacity, listens, False)
             world.receive(clients, "the generator")
-            t0_ns = time.monotonic_ns() + 300_000_000
-            clients.send(("start", t0_ns))
-        world.pipe.send(("start", t0_ns))
+        world.start(clients)
         try:
-            yield Up(world, clients)
+            yield Up(world)
         finally:
             for pipe in (clients, world.pipe):
                 if pipe is not None:
