Ask discovery anew beside a call that has fallen silent, before its news count as told

Ruled out: sends after the list was known (the last wrong one lies before the first new list); dials under way. Change: half a second after its wait a watch counts as silent and a further call is made beside it, twice at most; the first list wins. Where lists are pushed a broken watch rests a fifth of the grace, a call without an answer is made again after two fifths, and a new process hears the agent before it listens: what the agent has counts from its first moment. A call that waits for nothing ends after 3 s (5 before), a half answer after 1 s without a byte. The log says why there is no list, once for each cause.

tests/test_discovery.py holds the silent watch, hung calls, a late directory and lists that can't be used; the test of `run` with files now also expects the new event, for its discovery is one that nobody listens on.

--- a/tests/cli/test_commands.py
+++ b/tests/cli/test_commands.py
@@ -87,7 +87,7 @@
     rest = [json.loads(each) for each in process.stderr]
     guard.cancel()
     assert process.wait(20) == 0
-    assert {each["event"] for each in events} == {"door_open", "serving", "no_fresh_list"}
+    assert {each["event"] for each in events} == {"door_open", "serving", "no_fresh_list", "no_list"}
     assert events[-1].keys() == {"event", "level", "at", "name", "address"}
     assert [each["event"] for each in rest] == ["draining", "drained"]
     process.stderr.close()
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -6,10 +6,22 @@
 import json
 
 import pytest
-from loopback import HOST, Heard, ScriptedDiscovery, ScriptedServer, line, play, reply, soon, until
+from loopback import (
+    HOST,
+    PATIENCE_S,
+    Heard,
+    ScriptedDiscovery,
+    ScriptedServer,
+    line,
+    play,
+    reply,
+    soon,
+    until,
+)
 
+from tulipnotch.sidecar import discovery
 from tulipnotch.sidecar.client import parse_address
-from tulipnotch.sidecar.discovery import Discovery, Listing, parse_listing
+from tulipnotch.sidecar.discovery import Discovery, Listing, Waits, parse_listing
 
 
 class Ears:
@@ -17,12 +29,15 @@
 
     def __init__(self, server: ScriptedServer, version: int = 41, pushed: bool = False) -> None:
         self.events: asyncio.Queue[Listing | None] = asyncio.Queue()
+        self.faults: list[str] = []
         self.discovery = Discovery(
             parse_address(server.address),
             version,
             pushed,
             self.events.put_nowait,
             lambda: self.events.put_nowait(None),
+            self.faults.append,
+            grace_us=250_000,
         )
 
     async def next(self) -> Listing | None:
@@ -216,6 +231,122 @@
     play(work)
 
 
+def _watch_that_waits(monkeypatch: pytest.MonkeyPatch) -> None:
+    """A watch's wait is over soon, and nothing is given up within the test."""
+    monkeypatch.setattr(discovery, "_WATCH_MS", 20)
+    monkeypatch.setattr(discovery, "_WATCH_OVERDUE_S", 0.02)
+    for name in ("_WATCH_WITHIN_S", "_ANSWER_WITHIN_S"):
+        monkeypatch.setattr(discovery, name, 4 * PATIENCE_S)
+
+
+def test_a_watch_that_fell_silent_is_asked_anew_before_it_is_given_up(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    # Guards against learning of a drain only when it counts as told: 2 s after the wait of the silent watch.
+    _watch_that_waits(monkeypatch)
+
+    async def work() -> None:
+        server = ScriptedDiscovery()  # its watches are silent until it tells
+        server.servers = [line("s-1", f"{HOST}:80")]
+        await server.start()
+        ears = Ears(server)
+        ears.discovery.follow(True)
+        assert await ears.next() is not None
+        server.version, server.servers = 2, [line("s-1", f"{HOST}:80", state="leaving")]
+        heard = await ears.next()
+        assert heard is not None and heard.version == 2
+        assert server.connections >= 2
+        ears.discovery.close()
+        server.stop()
+
+    play(work)
+
+
+@pytest.mark.parametrize("hangs_at", [0, 1], ids=["the first call", "the second call too"])
+def test_where_lists_are_pushed_a_call_without_an_answer_is_made_again_beside_it(
+    hangs_at: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # Guards against a hung connection to the agent: all that it has counts as told meanwhile.
+    _watch_that_waits(monkeypatch)
+
+    async def work() -> None:
+        async def answer(heard: Heard) -> bytes | None:
+            return None if heard.connection <= hangs_at else reply(json.dumps(GOOD).encode())
+
+        server = await ScriptedServer(answer).start()
+        ears = Ears(server, pushed=True)
+        ears.discovery.start()
+        heard = await ears.next()
+        assert heard is not None and heard.version == 7
+        ears.discovery.close()
+        server.stop()
+
+    play(work)
+
+
+def test_a_directory_that_answers_late_is_not_asked_without_end(monkeypatch: pytest.MonkeyPatch) -> None:
+    _watch_that_waits(monkeypatch)
+
+    async def work() -> None:
+        server = await ScriptedServer(None).start()
+        ears = Ears(server, pushed=True)
+        ears.discovery.start()
+        await until(lambda: server.connections == 3)
+        await asyncio.sleep(0.3)  # several times what a call may take before another is made
+        assert server.connections == 3
+        ears.discovery.close()
+        server.stop()
+
+    play(work)
+
+
+def test_waits_follow_the_grace_where_lists_are_pushed() -> None:
+    again, overdue = Waits.of(True, 250_000).again_s, Waits.of(True, 250_000).overdue_s
+    assert overdue is not None and again + overdue < 0.25  # both fit into the grace
+    assert Waits.of(True, 0).again_s > 0.0  # an agent that is down is not asked in a tight loop
+    assert Waits.of(False, 250_000).overdue_s is None
+
+
+_WHOLE = json.dumps({**GOOD, "servers": [line("s-1", "127.0.0.2:80")]}).encode()
+
+
+@pytest.mark.parametrize(
+    ("answer", "cause"),
+    [
+        (reply(_WHOLE[:-9]), "the list can't be read"),
+        (reply(_WHOLE)[:-9], "broke"),
+        (reply(b"", "503 Busy"), "status 503"),
+        (reply(_WHOLE.replace(b"active", b"sleepy")), "unknown state 'sleepy' of s-1"),
+    ],
+    ids=["cut short", "broken off", "turned away", "strange"],
+)
+@pytest.mark.parametrize("pushed", [True, False])
+def test_a_list_that_cant_be_used_is_told_once_and_asked_for_again(
+    answer: bytes, cause: str, pushed: bool
+) -> None:
+    async def work() -> None:
+        async def script(heard: Heard) -> bytes:
+            if len(server.heard) > 3:
+                return reply(json.dumps(json.loads(_WHOLE), indent=2).encode())
+            heard.writer.write(answer)
+            heard.writer.close()
+            return b""
+
+        server = await ScriptedServer(script).start()
+        ears = Ears(server, pushed=pushed)
+        ears.discovery.start()
+        heard: Listing | None = None
+        while heard is None:
+            ears.discovery.follow(True)  # where lists are pushed it asks by itself
+            heard = await ears.next()
+        assert heard.version == 7 and [each.listed.server for each in heard.entries] == ["s-1"]
+        assert len(ears.faults) == 1 and cause in ears.faults[0]
+        ears.discovery.close()
+        server.stop()
+
+    play(work)
+
+
 def test_a_listing_is_read_as_the_decisions_need_it() -> None:
     listing = parse_listing(
         {"version": 3, "full": False, "servers": [line("a", "127.0.0.1:80", started_ms=1_700_000_000_123)]}
--- a/tulipnotch/sidecar/discovery.py
+++ b/tulipnotch/sidecar/discovery.py
@@ -15,11 +15,21 @@
 _STATES = {"active": ServerState.READY, "leaving": ServerState.DRAINING, "left": ServerState.GONE}
 _PATH = "/catalog/members"
 _MOST_BYTES = 4 << 20  # of a whole list
-_ANSWER_WITHIN_S = 5.0  # for a call that waits for nothing
-_WATCH_WITHIN_S = 2.0  # and for a watch, beyond its wait: what is told later counts as told all the same
+# What a call that has fallen silent misses counts as told 6 s after that, or 2 s after its wait is over, if
+# that is later.  By then its successor must have been answered, and not only begun.
+_ANSWER_WITHIN_S = 3.0  # for a call that waits for nothing: a second one fits into the 6 s
+_WATCH_WITHIN_S = 2.0  # for a watch, beyond its wait
+_WATCH_OVERDUE_S = 0.5  # beyond its wait, after which a watch is taken for silent and one more call is made
+_MOST_BESIDE = 2  # such calls beside one that is overdue: a directory with a long line is not asked on and on
+_STALLED_S = 1.0  # without a byte of an answer that was begun
 _DIAL_WITHIN_S = 1.0
 _WATCH_MS = 20_000  # how long a watch may wait for news
-_PUSHED_AGAIN_S = 0.2  # where lists are pushed nobody asks again: a broken watch is taken up after this
+# Where lists are pushed, what the agent has counts as told with no watch open too: a watch is taken up, and
+# a call that is not answered is made again, after such parts of the grace that a drain has.
+_PUSHED_AGAIN = 0.2
+_PUSHED_OVERDUE = 0.4
+_PUSHED_LEAST_S = 0.02
+_PUSHED_MOST_S = 0.2
 _MOST_CALLS = 8  # at once; more fail unasked
 
 
@@ -104,8 +114,30 @@
     """Discovery did not answer a call, or not with a list."""
 
 
+@dataclass(frozen=True, slots=True)
+class Waits:
+    """How long discovery is waited for, in seconds."""
+
+    again_s: float  # where lists are pushed: between a watch that broke and the next
+    overdue_s: float | None  # until a call that waits for nothing is made again beside itself; None: never
+
+    @staticmethod
+    def of(pushed: bool, grace_us: int) -> Waits:
+        """Where lists are asked for, the decisions say when to ask again, and one such call is enough."""
+        if not pushed:
+            return Waits(0.0, None)
+
+        def part(share: float) -> float:
+            return min(max(share * grace_us / 1e6, _PUSHED_LEAST_S), _PUSHED_MOST_S)
+
+        return Waits(part(_PUSHED_AGAIN), part(_PUSHED_OVERDUE))
+
+
 class Discovery:
-    """Calls to discovery.  Every `follow` and `fetch` is answered by one call of `on_list` or `on_failed`."""
+    """Calls to discovery.  Every `follow` and `fetch` is answered by one call of `on_list` or `on_failed`.
+
+    `on_fault` is told why there is no list, once for each cause until there is one again.
+    """
 
     def __init__(
         self,
@@ -114,12 +146,18 @@
         pushed: bool,
         on_list: Callable[[Listing], None],
         on_failed: Callable[[], None],
+        on_fault: Callable[[str], None],
+        grace_us: int = 0,
     ) -> None:
         self._address = address
         self._version = version
         self._pushed = pushed
         self._on_list = on_list
         self._on_failed = on_failed
+        self._on_fault = on_fault
+        self._fault: str | None = None  # what was told of last, while there is no list
+        self._waits = Waits.of(pushed, grace_us)
+        self.has_tried = asyncio.Event()  # whether a call has been answered, or has failed
         self._is_followed = pushed
         self._changes = 0  # of what is known, so far
         self._watch: asyncio.Task[None] | None = None
@@ -127,6 +165,9 @@
         self._fetches: set[asyncio.Task[None]] = set()
         self._tasks: set[asyncio.Task[None]] = set()
 
+    def obey(self, grace_us: int) -> None:
+        self._waits = Waits.of(self._pushed, grace_us)
+
     def start(self) -> None:
         """Where lists are pushed, the agent's are heard from the start on, unasked."""
         if self._pushed:
@@ -193,7 +234,8 @@
         line, changes = _Line(self._address), self._changes
         try:
             listing = await line.call(None, 0)
-        except CallFailed:
+        except CallFailed as fault:
+            self._failed(fault)
             self._on_failed()
         else:
             self._heard(listing, changes)
@@ -203,16 +245,18 @@
     async def _follow(self) -> None:
         try:
             await self._watch_on()
-        except CallFailed:
+        except CallFailed as fault:
             self._watch = None
+            self._failed(fault)
             self._on_failed()
 
     async def _hear_pushed(self) -> None:
         while True:
             try:
                 await self._watch_on()
-            except CallFailed:
-                await asyncio.sleep(_PUSHED_AGAIN_S)
+            except CallFailed as fault:
+                self._failed(fault)
+                await asyncio.sleep(self._waits.again_s)
 
     async def _watch_on(self) -> None:
         """Watch until a call fails.  The first call waits for nothing, so that it is answered soon."""
@@ -220,15 +264,58 @@
         try:
             wait_ms = 0
             while True:
-                changes = self._changes
-                listing = await line.call(self._version, wait_ms)
+                line, listing, changes = await self._call(line, wait_ms)
                 if listing.full or listing.entries or not self._watch_answered:
                     self._watch_answered = True
                     self._heard(listing, changes)
+                self._fault = None
                 wait_ms = _WATCH_MS
         finally:
             line.close()
 
+    async def _call(self, line: _Line, wait_ms: int) -> tuple[_Line, Listing, int]:
+        """Call, and call anew beside a call that is overdue; give the first list, and the line it came on.
+
+        Guards against learning of a drain when its grace is over: a watch that fell silent looks like one
+        with no news, and what it missed counts as told by the time at which it may be given up.  The calls
+        beside it wait for nothing, and go out on connections of their own.
+        """
+        calls: dict[asyncio.Task[Listing], tuple[_Line, int]] = {}
+
+        def begin(on: _Line, for_ms: int) -> None:
+            work = asyncio.get_running_loop().create_task(on.call(self._version, for_ms))
+            calls[work] = on, self._changes
+
+        begin(line, wait_ms)
+        overdue_s = wait_ms / 1_000 + _WATCH_OVERDUE_S if wait_ms else self._waits.overdue_s
+        spare = _MOST_BESIDE
+        try:
+            while True:
+                left_s = overdue_s if spare else None  # each call ends by itself
+                done, _ = await asyncio.wait(calls, timeout=left_s, return_when=asyncio.FIRST_COMPLETED)
+                for call in done:
+                    its, changes = calls.pop(call)
+                    fault = call.exception()
+                    if fault is None:
+                        return its, call.result(), changes
+                    its.close()
+                    if not calls or not isinstance(fault, CallFailed):
+                        raise fault
+                if not done:
+                    spare -= 1
+                    overdue_s = self._waits.overdue_s or _WATCH_OVERDUE_S
+                    begin(_Line(self._address), 0)
+        finally:
+            for call, (its, _) in calls.items():
+                call.cancel()
+                its.close()
+
+    def _failed(self, fault: CallFailed) -> None:
+        self.has_tried.set()
+        if str(fault) != self._fault:
+            self._fault = str(fault)
+            self._on_fault(self._fault)
+
     def _heard(self, listing: Listing, changes: int) -> None:
         """Take over an answer to a call that began when so many changes were known.
 
@@ -241,6 +328,8 @@
         else:
             self._version = listing.version
             self._changes += 1
+        self._fault = None
+        self.has_tried.set()
         self._on_list(listing)
 
 
@@ -260,14 +349,18 @@
         try:
             async with asyncio.timeout(wait_ms / 1_000 + _WATCH_WITHIN_S if wait_ms else _ANSWER_WITHIN_S):
                 response = await self._get(target.encode())
-        except (OSError, TimeoutError) as fault:
-            raise CallFailed(str(fault)) from None
-        if isinstance(response, Failure) or response.status != 200:
-            raise CallFailed("no list")
+        except TimeoutError:
+            raise CallFailed("no answer in time") from None
+        except OSError as fault:
+            raise CallFailed(f"no connection: {fault}") from None
+        if isinstance(response, Failure):
+            raise CallFailed(_WHY[response])
+        if response.status != 200:
+            raise CallFailed(f"status {response.status}")
         try:
             return parse_listing(json.loads(response.body))
         except (ValueError, RecursionError) as nonsense:
-            raise CallFailed(str(nonsense)) from None
+            raise CallFailed(f"the list can't be read: {nonsense}") from None
 
     async def _get(self, target: bytes) -> Response | Failure:
         if self._connection is None or not self._connection.is_usable():
@@ -285,12 +378,19 @@
 
     async def _dial(self) -> ClientConnection:
         def made() -> ClientConnection:
-            return ClientConnection(ResponseReader(_MOST_BYTES), _ignore, _ignore, _ANSWER_WITHIN_S)
+            return ClientConnection(ResponseReader(_MOST_BYTES), _ignore, _ignore, _STALLED_S)
 
         async with asyncio.timeout(_DIAL_WITHIN_S):
             _, connection = await asyncio.get_running_loop().create_connection(made, *self._address)
         return connection
 
 
+_WHY = {
+    Failure.UNWRITTEN: "the connection broke under the call",
+    Failure.BROKEN: "the connection broke before the answer's end",
+    Failure.SPOILT: "the answer is no HTTP, too large or has no end",
+}
+
+
 def _ignore(_: ClientConnection) -> None:
     """Nothing is kept of it."""
--- a/tulipnotch/sidecar/logs.py
+++ b/tulipnotch/sidecar/logs.py
@@ -39,6 +39,7 @@
     "draining": EventForm("info", "draining"),
     "drained": EventForm("info", "drained"),
     "no_fresh_list": EventForm("warning", "no fresh list in {waited_s:g} s: going by the known one"),
+    "no_list": EventForm("warning", "no list from discovery: {fault}; the one in force stays"),
     "reloaded": EventForm("info", "reloaded: discovery at {discovery}{waits}"),
     "reload_refused": EventForm("error", "reload: the old configuration stays in force: {fault}"),
     "ejected": EventForm("warning", "ejected {server}: {reason}"),
--- a/tulipnotch/sidecar/sidecar.py
+++ b/tulipnotch/sidecar/sidecar.py
@@ -149,6 +149,8 @@
             config.settings.discovery is Discovery.PUSHED,
             self._listed,
             lambda: self._post(ServersListed(ListKind.FAILED)),
+            lambda fault: self._log("no_list", fault=fault),
+            config.settings.rules.drain_grace_us,
         )
         self._ladder = Ladder(levels.levels, levels.hold_us, self._clock.now()) if levels else None
         self._peers = Peers(
@@ -163,6 +165,7 @@
 
         A fresh list is worth a wait where the version before serves meanwhile.  Where nobody does, the known
         one is good enough, and a release that kills most sidecars at once leaves discovery with a long line.
+        Where lists are pushed it is not: all that the agent has counts as told from the first moment on.
         """
         self._is_inherited = self._shares_room = inherited is not None
         if self._settings.limits.may_message and self.config.peer_listen is not None:
@@ -171,6 +174,9 @@
         self._post(self.config.known.event(ListKind.REMEMBERED))
         self._discovery.start()
         if inherited is None:
+            if self._settings.discovery is Discovery.PUSHED:
+                # Nothing is bound meanwhile: what the kernel accepts is lost if this start is called off.
+                await self._until(self._discovery.has_tried, _FRESH_WITHIN_S)
             self.frontend.listen(bind(self.config.listen))
             if not self.config.known.entries:  # else its clients need not wait, and nobody else serves them
                 await self._freshly_listed(_FRESH_WITHIN_S)
@@ -194,9 +200,12 @@
             asyncio.get_running_loop().call_later(READ_EVERY_US / 1e6, self._read_pressure, ladder)
 
     async def _freshly_listed(self, within_s: float) -> None:
+        await self._until(self._has_fresh_list, within_s)
+
+    async def _until(self, heard: asyncio.Event, within_s: float) -> None:
         try:
             async with asyncio.timeout(within_s):
-                await self._has_fresh_list.wait()
+                await heard.wait()
         except TimeoutError:
             self._log("no_fresh_list", waited_s=within_s)
 
@@ -281,6 +290,7 @@
         self._settings = settings
         self.telemetry.show(each.name for each in settings.classes)
         self._upstream.obey(settings.limits)
+        self._discovery.obey(settings.rules.drain_grace_us)
         self.frontend.obey(settings)
         self._post(SettingsChanged(settings))
 
