Stop whatever has not left when its client leaves, and let a connection rest after an answer

A lead from reading, confirmed by tests: Sidecar._gone told the decisions, whose _close may call attempts off only where settings permit it, so that a dial that came up later was written (sidecar.py, upstream.py _dial). With something sent ahead reading is paused (frontend.py, buffer_updated), the client's end was never seen at all, and a redraw or what it had sent ahead went on. Not a byte of these had gone out, so no permission is needed. - Sidecar._settle, through which every end of what is owed goes, withdraws all calls that have not left whole; such a call ends as never sent, not as cancelled. A connection now rests for 10 ms.

The test that a connection is used again switches the rest off; a new one holds the rest itself.

--- /dev/null
+++ b/tests/slow_to_accept.py
@@ -0,0 +1,45 @@
+"""A server whose line for new connections is full until a test lets it go."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+
+from loopback import HOST
+
+
+class SlowToAccept:
+    """A server whose connections come up late: its line for new ones is full until it is let go."""
+
+    def __init__(self) -> None:
+        self.listener = socket.socket()
+        self.listener.bind((HOST, 0))
+        self.listener.listen(0)
+        self.fillers: list[socket.socket] = []
+
+    @property
+    def address(self) -> str:
+        return f"{HOST}:{self.listener.getsockname()[1]}"
+
+    async def fill(self) -> None:
+        for _ in range(3):
+            filler = socket.socket()
+            filler.setblocking(False)
+            filler.connect_ex(self.listener.getsockname())
+            self.fillers.append(filler)
+        await asyncio.sleep(0.05)
+
+    async def let_go(self) -> socket.socket:
+        """Accept until the sidecar's own connection comes up; give it."""
+        ours = {each.getsockname() for each in self.fillers}
+        self.listener.setblocking(False)
+        loop = asyncio.get_running_loop()
+        while True:
+            accepted, address = await loop.sock_accept(self.listener)
+            if address not in ours:
+                return accepted
+            self.fillers.append(accepted)
+
+    def close(self) -> None:
+        for each in (self.listener, *self.fillers):
+            each.close()
--- a/tulipnotch/sidecar/frontend.py
+++ b/tulipnotch/sidecar/frontend.py
@@ -29,6 +29,9 @@
 _READ_AT_ONCE = 32 << 10
 _WAITING = 32 << 10  # of a body that passes through, before its client has to wait for the server
 _HEALTH = b"/_health"
+_HAS_ENDED = (
+    select.POLLRDHUP | select.POLLHUP | select.POLLERR
+)  # of a client's socket, also with bytes unread
 _CLASS_FADES_S = 2.0  # how long a class that the settings no longer name is taken: requests are on their way
 
 
@@ -84,7 +87,7 @@
         self._source: Source | None = None  # of the answer that passes through
         self._answers_in_chunks = False
         self._is_writing_paused = False
-        self._is_reading_paused = False
+        self.is_reading_paused = False
         self._progress_at = 0.0  # when a byte came last, or one more could be written
         self._looked_at = 0.0  # when it was last looked at how much had come
         self._came = 0  # bytes since then
@@ -109,7 +112,7 @@
 
     def is_stuck(self, now: float, limits: ClientLimits) -> bool:
         """Whether the client has stopped sending what it began, or sends next to nothing."""
-        if self._is_reading_paused:  # it is the server that takes nothing
+        if self.is_reading_paused:  # it is the server that takes nothing
             self._progress_at = self._looked_at = now
             self._came = 0
             return False
@@ -129,8 +132,22 @@
             and now - self._progress_at >= limits.reading_s
         )
 
+    @property
+    def _has_left(self) -> bool:
+        return any(events & _HAS_ENDED for _, events in self._poll.poll(0))
+
     # What the sidecar calls
 
+    def look(self) -> None:
+        """See whether the client is still there, before something is done for it.
+
+        Guards against sending on what nobody waits for: its leaving may lie in the socket before the event
+        loop has seen it, and is never seen while nothing is read.
+        """
+        if self._owed is not None and self._has_left:
+            self._gone()
+            self.cut()
+
     def answer(self, status: int, headers: Headers, body: bytes, length: int | None = None) -> None:
         """Write the one answer to the open request; `length` is told where no body may follow."""
         self._owed = None
@@ -228,7 +245,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         # uvloop's class is none of asyncio's, so there is nothing to check.
         self._transport = cast(asyncio.Transport, transport)
-        self._poll.register(transport.get_extra_info("socket").fileno(), select.POLLIN)
+        self._poll.register(transport.get_extra_info("socket").fileno(), select.POLLIN | select.POLLRDHUP)
         self._frontend.opened(self)
 
     def get_buffer(self, sizehint: int) -> memoryview:
@@ -327,13 +344,13 @@
                 return
 
     def _pause_reading(self) -> None:
-        self._is_reading_paused = True
+        self.is_reading_paused = True
         if self._transport is not None and not self._transport.is_closing():
             self._transport.pause_reading()
 
     def _resume_reading(self) -> None:
-        if self._is_reading_paused:
-            self._is_reading_paused = False
+        if self.is_reading_paused:
+            self.is_reading_paused = False
             self._progress_at = self._looked_at = asyncio.get_running_loop().time()
             self._came = 0
         if self._transport is not None and not self._transport.is_closing():
@@ -346,6 +363,9 @@
             phase = self._frontend.lifecycle.phase.value
             self.answer(200 if self._frontend.lifecycle.is_ready else 503, [], f"{phase}\n".encode())
             return
+        if self._has_left:
+            self.cut()  # it sent this ahead, and did not wait for it
+            return
         try:
             self._owed = self._frontend.arrived(self, self._frontend.read(request))
             if self._owed is not None and not request.body.is_whole:
@@ -528,9 +548,13 @@
         for each in list(self._by_state[State.PASSING]):
             if each.is_stuck(now, limits):
                 each.give_up(408)
+            elif each.is_reading_paused:
+                each.look()
         for each in list(self._by_state[State.SERVING]):
             if each.is_unread(now, limits):
                 each.cut()
+            elif each.is_reading_paused:
+                each.look()
         for each in list(self._by_state[State.RESTING]):
             if now - each.since < min(leaving_s, limits.idle_timeout_s):
                 break  # they stand in the order in which they came to rest
--- a/tulipnotch/sidecar/sidecar.py
+++ b/tulipnotch/sidecar/sidecar.py
@@ -537,10 +537,15 @@
         def began(head: Response, source: ClientConnection) -> Sink | None:
             return self._stream_began(attempt, head, source)
 
+        def look() -> None:
+            if held.client is not None:
+                held.client.look()
+
         # A body that passes through goes to one server at a time, and to none once a part of it has gone.
         can_be_sent = body.is_repeatable and (held.out == 0 or not body.passes_through)
         until = action.until if can_be_sent else 0
-        call = Call(action.server, until, held.incoming.message, done, self.telemetry.attempt_written, began)
+        written = self.telemetry.attempt_written
+        call = Call(action.server, until, held.incoming.message, done, written, began, look)
         held.calls.append(call)
         held.out += 1
         self._upstream.start(call)
@@ -590,13 +595,19 @@
         self._forget_if_over(request)
 
     def _settle(self, request: int) -> ClientSide | None:
-        """Nothing is owed from here on; give the client if something was."""
+        """Nothing is owed from here on; give the client if something was.
+
+        What has not left whole stays here: a dial that comes up later would send a request that nobody waits
+        for, also where the settings do not permit to cancel what a server has begun.
+        """
         held = self._open.get(request)
         if held is None or held.client is None:
             return None
         client, held.client = held.client, None
         held.incoming.body.on_whole = None
         self._owed.discard(held.incoming.ident)
+        for call in held.calls:
+            self._upstream.withdraw(call)
         return client
 
     def _forget_if_over(self, request: int) -> None:
--- a/tulipnotch/sidecar/upstream.py
+++ b/tulipnotch/sidecar/upstream.py
@@ -14,6 +14,9 @@
 from tulipnotch.sidecar.http1 import KEPT, MOST_BODY, Request, Response, ResponseReader
 
 _IDLE_MARGIN = 0.1  # of the idle limit: a connection this near to it may be closed at the far end by now
+# How long a connection rests after an answer.  A server may answer twice, the second time some milliseconds
+# late (1 to 3 were seen); nothing in it tells that it belongs to the request before.
+_REST_US = 10_000
 _LARGEST_FIGURE = 1e9  # of a load report; what is larger is nonsense
 # What says that this machine, not the server, had no room for a connection.
 _OWN_FAULTS = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL)
@@ -24,7 +27,18 @@
 class Call:
     """One request to one server.  `done` is called exactly once, never from within `start` or `cancel`."""
 
-    __slots__ = ("began", "connection", "done", "ended", "message", "server", "timer", "until", "written")
+    __slots__ = (
+        "began",
+        "connection",
+        "done",
+        "ended",
+        "look",
+        "message",
+        "server",
+        "timer",
+        "until",
+        "written",
+    )
 
     def __init__(
         self,
@@ -34,6 +48,7 @@
         done: Done,
         written: Callable[[], None] | None = None,
         began: Began | None = None,
+        look: Callable[[], None] | None = None,
     ) -> None:
         self.server = server
         self.until = until
@@ -41,10 +56,16 @@
         self.done = done
         self.written = written  # called once the server may have begun it
         self.began = began  # called once an answer has begun that is too large to be kept
+        self.look = look  # called before anything is written for it; it may be cancelled within
         self.ended = False
         self.connection: ClientConnection | None = None  # once it is written
         self.timer: asyncio.TimerHandle | None = None
 
+    @property
+    def is_unwritten(self) -> bool:
+        """Whether its last byte has not left, so that no server can have begun it."""
+        return self.connection is None or self.connection.is_unwritten
+
 
 @dataclass(slots=True)
 class _Idle:
@@ -118,6 +139,8 @@
         if server is None or server.is_leaving or left_us <= 0:
             loop.call_soon(self._end, call, Outcome.UNSENT)
             return
+        if not self._is_wanted(call):
+            return
         if call.until < NEVER:
             call.timer = loop.call_later(left_us / 1e6, self._expire, call)
         connection = self._take(server)
@@ -143,11 +166,17 @@
         if call.ended:
             return
         call.ended = True  # from here on nothing is written for it, also when a dial comes up
+        outcome = Outcome.UNSENT if call.is_unwritten else Outcome.CANCELLED
         if call.timer is not None:
             call.timer.cancel()
         if call.connection is not None:
             call.connection.close()
-        asyncio.get_running_loop().call_soon(call.done, Outcome.CANCELLED, None)
+        asyncio.get_running_loop().call_soon(call.done, outcome, None)
+
+    def withdraw(self, call: Call) -> None:
+        """Stop what has not left whole.  No server has begun it, so no permission to cancel is needed."""
+        if call.is_unwritten:
+            self.cancel(call)
 
     def close_idle(self, name: str) -> None:
         server = self._servers.get(name)
@@ -167,12 +196,10 @@
             connection.close()
 
     def _expire(self, call: Call) -> None:
-        if call.connection is None:
-            # Still dialling: not a byte was written, so it never ran.
-            self._end(call, Outcome.DIAL_FAILED)
-        else:
+        outcome = Outcome.DIAL_FAILED if call.is_unwritten else Outcome.EXPIRED
+        if call.connection is not None:
             call.connection.close()
-            self._end(call, Outcome.EXPIRED)
+        self._end(call, outcome)
 
     def _end(self, call: Call, outcome: Outcome, response: Response | None = None) -> None:
         if call.ended:
@@ -182,6 +209,13 @@
             call.timer.cancel()
         call.done(outcome, response)
 
+    @staticmethod
+    def _is_wanted(call: Call) -> bool:
+        """Whether somebody still waits for it, as of now."""
+        if call.look is not None and not call.ended:
+            call.look()
+        return not call.ended
+
     def _write(self, call: Call, connection: ClientConnection) -> None:
         def ended(how: Response | Failure) -> None:
             self._end(call, _outcome(how), how if isinstance(how, Response) else None)
@@ -219,7 +253,7 @@
             # Guards rule 3: word of its drain came while the dial was under way.
             connection.close()
             self._end(call, Outcome.UNSENT)
-        elif call.ended:
+        elif not self._is_wanted(call):
             self._freed(connection)  # guards against writing what was called off; the connection is good
         elif connection.is_usable():
             self._write(call, connection)
@@ -242,13 +276,20 @@
         return True
 
     def _take(self, server: _Server) -> ClientConnection | None:
-        """The most recently used idle connection that is good, if there is one."""
-        while server.idle:
+        """The most recently used idle connection that is good and has rested, if there is one."""
+        now = self._clock.now()
+        resting: list[_Idle] = []
+        taken: ClientConnection | None = None
+        while server.idle and taken is None:
             idle = server.idle.pop()
-            if self._clock.now() - idle.since < self._use_within_us and idle.connection.is_usable():
-                return idle.connection
-            idle.connection.close()
-        return None
+            if now - idle.since < _REST_US:
+                resting.append(idle)
+            elif now - idle.since < self._use_within_us and idle.connection.is_usable():
+                taken = idle.connection
+            else:
+                idle.connection.close()
+        server.idle += reversed(resting)
+        return taken
 
     def _freed(self, connection: ClientConnection) -> None:
         server = self._owners.get(connection)
