--- a/tulipnotch/decisions/balancer.py
+++ b/tulipnotch/decisions/balancer.py
@@ -324,6 +324,8 @@
         """Go by new settings; what was learnt of servers stays, and of classes that are still there."""
         self._obey(settings)
         self._remote_at = -1
+        if "util" not in settings.report_columns:
+            self._cores = None  # nobody reports them any more: what they last said would count for ever
         for rate in (self._arrivals, self._served_warm):
             rate.over(RATE_SPANS * settings.rules.fall_us)
         self._mix = {key: each for key, each in self._mix.items() if key[0] in self._classes}
--- a/tulipnotch/sidecar/frontend.py
+++ b/tulipnotch/sidecar/frontend.py
@@ -439,13 +439,18 @@
     def read(self, request: Request) -> Incoming:
         return read_request(request, self._settings, self._classes)
 
+    @property
+    def is_empty(self) -> bool:
+        """Whether no client is connected, nor accepted and about to be."""
+        return not self.open_connections and (self._acceptor is None or not self._acceptor.coming)
+
     def close_idle(self) -> None:
         for each in [each for each in self.connections() if each.is_idle]:
             each.close()
 
-    def stop_listening(self) -> None:
+    def stop_listening(self, *, is_last: bool = False) -> None:
         if self._acceptor is not None:
-            self._acceptor.close()
+            self._acceptor.close(is_last=is_last)
 
     def close(self) -> None:
         self.stop_listening()
--- a/tulipnotch/sidecar/listener.py
+++ b/tulipnotch/sidecar/listener.py
@@ -52,11 +52,24 @@
         self.port = int(listener.getsockname()[1])
         asyncio.get_running_loop().add_reader(listener.fileno(), self._accept)
 
-    def close(self) -> None:
-        """Accept no more.  Only this process's copy of the socket goes: another may still listen on it."""
-        if self._listener.fileno() >= 0:
-            asyncio.get_running_loop().remove_reader(self._listener.fileno())
-            self._listener.close()
+    @property
+    def coming(self) -> int:
+        """How many were accepted and are not connected yet."""
+        return len(self._accepting)
+
+    def close(self, *, is_last: bool = False) -> None:
+        """Accept no more.  Only this process's copy of the socket goes: another may still listen on it.
+
+        The last process to listen takes what the kernel has accepted for it: its close would reset these
+        connections, with the requests that clients have written to them.
+        """
+        if self._listener.fileno() < 0:
+            return
+        if is_last:
+            while self._accept_one():
+                pass
+        asyncio.get_running_loop().remove_reader(self._listener.fileno())
+        self._listener.close()
 
     def _accept(self) -> None:
         """Take a few new connections; the rest wait in the kernel.
@@ -64,16 +77,20 @@
         Guards the limit on descriptors: event loops accept all that is there before any of it is counted, so
         hundreds that connect at once would take every one.
         """
-        loop = asyncio.get_running_loop()
         for _ in range(_ACCEPTED_AT_ONCE - len(self._accepting)):
-            try:
-                accepted, _ = self._listener.accept()
-            except OSError:
-                return  # none is left, or no descriptor is: then those that are closing will give one back
-            accepted.setblocking(False)
-            task = loop.create_task(self._connect(accepted))
-            self._accepting.add(task)
-            task.add_done_callback(self._accepting.discard)
+            if not self._accept_one():
+                return
+
+    def _accept_one(self) -> bool:
+        try:
+            accepted, _ = self._listener.accept()
+        except OSError:
+            return False  # none is left, or no descriptor is: then those that are closing will give one back
+        accepted.setblocking(False)
+        task = asyncio.get_running_loop().create_task(self._connect(accepted))
+        self._accepting.add(task)
+        task.add_done_callback(self._accepting.discard)
+        return True
 
     async def _connect(self, accepted: socket.socket) -> None:
         try:
--- a/tulipnotch/sidecar/sidecar.py
+++ b/tulipnotch/sidecar/sidecar.py
@@ -328,7 +328,7 @@
         self._shares_room = True
         self._divide_descriptors(self.config.sockets)
         self._upstream.close_all_idle()
-        while self.frontend.open_connections and asyncio.get_running_loop().time() < until:
+        while not self.frontend.is_empty and asyncio.get_running_loop().time() < until:
             await asyncio.sleep(0.01)
 
     async def _run_dry(self, began: float, until: float) -> None:
@@ -338,8 +338,8 @@
         await asyncio.sleep(_NEW_FOR_S)
         while loop.time() < self.frontend.last_opened + _QUIET_S and loop.time() < began + _KILLED_AFTER_S:
             await asyncio.sleep(_QUIET_S / 2)
-        self.frontend.stop_listening()
-        while (self._owed or self.frontend.open_connections) and loop.time() < until:
+        self.frontend.stop_listening(is_last=True)
+        while (self._owed or not self.frontend.is_empty) and loop.time() < until:
             if not self._owed:
                 self.frontend.close_idle()
             await asyncio.sleep(0.01)
