Keep one call to a pushed agent young, and dial it for less than a drain's grace

Where lists are pushed an agent that is away may let dials hang for 1 s; at its return all it has counts as told at once, with a grace of 0.25 s. A dial to it now ends after four fifths of the grace, and a call that fails beside others is made again.

--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+from collections.abc import Callable
 
 import pytest
 from loopback import (
@@ -18,6 +19,7 @@
     soon,
     until,
 )
+from slow_to_accept import SlowToAccept
 
 from tulipnotch.sidecar import discovery
 from tulipnotch.sidecar.client import parse_address
@@ -307,6 +309,37 @@
     assert Waits.of(False, 250_000).overdue_s is None
 
 
+def test_where_lists_are_pushed_a_hung_dial_does_not_keep_the_agent_from_being_heard(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    # An agent that is away may let dials hang; what it has at its return counts as told at once.
+    _watch_that_waits(monkeypatch)
+    for name in ("_PUSHED_DIAL", "_PUSHED_MOST_S"):  # the hung one is never given up
+        monkeypatch.setattr(discovery, name, 1_000.0)
+    monkeypatch.setattr(discovery, "_PUSHED_OVERDUE", 0.02)
+
+    async def work() -> None:
+        slow = SlowToAccept()
+        await slow.fill()
+        server = await ScriptedServer(reply(json.dumps(GOOD).encode())).start()
+        where = iter([slow.address, *[f"{HOST}:9"] * 4])  # nobody listens there
+        real = asyncio.get_running_loop().create_connection
+
+        async def dial(made: Callable[[], asyncio.Protocol], *_: object) -> object:
+            return await real(made, *parse_address(next(where, server.address)))
+
+        monkeypatch.setattr(asyncio.get_running_loop(), "create_connection", dial, raising=False)
+        ears = Ears(server, pushed=True)
+        ears.discovery.start()
+        heard = await ears.next()
+        assert heard is not None and heard.version == 7
+        ears.discovery.close()
+        server.stop()
+        slow.close()
+
+    play(work)
+
+
 _WHOLE = json.dumps({**GOOD, "servers": [line("s-1", "127.0.0.2:80")]}).encode()
 
 
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -45,10 +45,14 @@
             await until(lambda: len(server.heard) == 2)
             async with running_on(config, server, listener) as new:
                 assert await new.call("readyz") == ["+OK ready"]
+                begun = request("lodge")
+                busy.send(begun[:20])  # a connection at rest would be let go of half a second later
+                await busy.writer.drain()
                 old.process.send_signal(signal.SIGTERM)
                 await until_says(old, "-ERR stopping")
                 await _all_answered_by(new, listener)
-                answer = await busy.ask("lodge")  # its connection is open, so the old one answers
+                busy.send(begun[20:])
+                answer = await busy.answer()  # its connection is open, so the old one answers
                 assert (answer.status, answer.headers["connection"]) == (200, "close")
                 assert old.process.returncode is None
                 release.set()
--- a/tulipnotch/sidecar/discovery.py
+++ b/tulipnotch/sidecar/discovery.py
@@ -28,8 +28,9 @@
 # a call that is not answered is made again, after such parts of the grace that a drain has.
 _PUSHED_AGAIN = 0.2
 _PUSHED_OVERDUE = 0.4
+_PUSHED_DIAL = 0.8
 _PUSHED_LEAST_S = 0.02
-_PUSHED_MOST_S = 0.2
+_PUSHED_MOST_S = 0.2  # however long the grace
 _MOST_CALLS = 8  # at once; more fail unasked
 
 
@@ -120,17 +121,18 @@
 
     again_s: float  # where lists are pushed: between a watch that broke and the next
     overdue_s: float | None  # until a call that waits for nothing is made again beside itself; None: never
+    dial_s: float
 
     @staticmethod
     def of(pushed: bool, grace_us: int) -> Waits:
         """Where lists are asked for, the decisions say when to ask again, and one such call is enough."""
         if not pushed:
-            return Waits(0.0, None)
+            return Waits(0.0, None, _DIAL_WITHIN_S)
 
         def part(share: float) -> float:
             return min(max(share * grace_us / 1e6, _PUSHED_LEAST_S), _PUSHED_MOST_S)
 
-        return Waits(part(_PUSHED_AGAIN), part(_PUSHED_OVERDUE))
+        return Waits(part(_PUSHED_AGAIN), part(_PUSHED_OVERDUE), part(_PUSHED_DIAL))
 
 
 class Discovery:
@@ -231,7 +233,7 @@
         return task
 
     async def _fetch(self) -> None:
-        line, changes = _Line(self._address), self._changes
+        line, changes = _Line(self._address, self._waits.dial_s), self._changes
         try:
             listing = await line.call(None, 0)
         except CallFailed as fault:
@@ -260,7 +262,7 @@
 
     async def _watch_on(self) -> None:
         """Watch until a call fails.  The first call waits for nothing, so that it is answered soon."""
-        line = _Line(self._address)
+        line = _Line(self._address, self._waits.dial_s)
         try:
             wait_ms = 0
             while True:
@@ -301,10 +303,12 @@
                     its.close()
                     if not calls or not isinstance(fault, CallFailed):
                         raise fault
+                    if self._pushed:
+                        spare += 1  # one is always young: the rest may hang from before the agent was back
                 if not done:
                     spare -= 1
                     overdue_s = self._waits.overdue_s or _WATCH_OVERDUE_S
-                    begin(_Line(self._address), 0)
+                    begin(_Line(self._address, self._waits.dial_s), 0)
         finally:
             for call, (its, _) in calls.items():
                 call.cancel()
@@ -336,8 +340,9 @@
 class _Line:
     """Calls to discovery one after another, over one connection while that lasts."""
 
-    def __init__(self, address: Address) -> None:
+    def __init__(self, address: Address, dial_within_s: float) -> None:
         self._address = address
+        self._dial_within_s = dial_within_s
         self._connection: ClientConnection | None = None
 
     def close(self) -> None:
@@ -380,7 +385,7 @@
         def made() -> ClientConnection:
             return ClientConnection(ResponseReader(_MOST_BYTES), _ignore, _ignore, _STALLED_S)
 
-        async with asyncio.timeout(_DIAL_WITHIN_S):
+        async with asyncio.timeout(self._dial_within_s):
             _, connection = await asyncio.get_running_loop().create_connection(made, *self._address)
         return connection
 
