--- a/tulipnotch/sidecar/client.py
+++ b/tulipnotch/sidecar/client.py
@@ -16,9 +16,6 @@
 
 from tulipnotch.sidecar.http1 import Request, Response, ResponseReader
 
-_ANSWER_TIMEOUT_S = (
-    0.25  # without a byte of an answer that has begun, while it can still be asked for elsewhere
-)
 _PASSING_TIMEOUT_S = 20.0  # without a byte of one that is being passed on: its client has nobody else to ask
 
 Address = tuple[str, int]
@@ -73,7 +70,7 @@
         reader: ResponseReader,
         on_free: Callable[[ClientConnection], None],
         on_closed: Callable[[ClientConnection], None],
-        answer_timeout_s: float = _ANSWER_TIMEOUT_S,
+        answer_timeout_s: float,  # without a byte of an answer that has begun and is not passed on yet
     ) -> None:
         self._reader = reader
         self._on_free = on_free
--- a/tulipnotch/sidecar/sidecar.py
+++ b/tulipnotch/sidecar/sidecar.py
@@ -141,7 +141,7 @@
         self.frontend = Frontend(
             config.settings, limits or client_limits(config), self.lifecycle, self._arrived, self._gone
         )
-        self._upstream = Upstream(self._clock, config.settings.limits)
+        self._upstream = Upstream(self._clock, config.settings)
         self._divide_descriptors(config.sockets)
         self._discovery = discovery.Discovery(
             config.discovery,
@@ -289,7 +289,7 @@
             return
         self._settings = settings
         self.telemetry.show(each.name for each in settings.classes)
-        self._upstream.obey(settings.limits)
+        self._upstream.obey(settings)
         self._discovery.obey(settings.rules.drain_grace_us)
         self.frontend.obey(settings)
         self._post(SettingsChanged(settings))
--- a/tulipnotch/sidecar/upstream.py
+++ b/tulipnotch/sidecar/upstream.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from tulipnotch.decisions.interface import NEVER, Limits, Outcome, ServerState
+from tulipnotch.decisions.interface import NEVER, Outcome, ServerState, Settings
 from tulipnotch.sidecar.client import Address, Began, ClientConnection, Failure, Sink
 from tulipnotch.sidecar.clock import Clock
 from tulipnotch.sidecar.discovery import Listing
@@ -17,6 +17,10 @@
 # How long a connection rests after an answer.  A server may answer twice, the second time some milliseconds
 # late (1 to 3 were seen); nothing in it tells that it belongs to the request before.
 _REST_US = 10_000
+# An answer that has begun may stand still for this part of the shortest aim, while its request can still go
+# elsewhere; what one core and a busy network do to any answer is less than the least.
+_STALL_AIMS = 0.4
+_STALL_LEAST_S = 0.1
 _LARGEST_FIGURE = 1e9  # of a load report; what is larger is nonsense
 # What says that this machine, not the server, had no room for a connection.
 _OWN_FAULTS = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL)
@@ -88,9 +92,9 @@
 class Upstream:
     """All connections to servers, never more than `most`."""
 
-    def __init__(self, clock: Clock, limits: Limits) -> None:
+    def __init__(self, clock: Clock, settings: Settings) -> None:
         self._clock = clock
-        self.obey(limits)
+        self.obey(settings)
         self.most = 0  # connections; set by whoever knows how many descriptors there are
         self._servers: dict[str, _Server] = {}
         self._owners: dict[ClientConnection, _Server] = {}  # of every open connection
@@ -98,8 +102,11 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self._sweep: asyncio.TimerHandle | None = None
 
-    def obey(self, limits: Limits) -> None:
-        """Go by these limits from now on."""
+    def obey(self, settings: Settings) -> None:
+        """Go by these settings from now on."""
+        limits = settings.limits
+        shortest_s = min(each.aim_us for each in settings.classes) / 1e6
+        self._answer_within_s = max(_STALL_AIMS * shortest_s, _STALL_LEAST_S)
         self._dial_within_s = limits.dial_timeout_us / 1e6
         self._use_within_us = int(limits.idle_close_us * (1.0 - _IDLE_MARGIN))
 
@@ -237,7 +244,9 @@
         try:
             async with asyncio.timeout(self._dial_within_s):
                 _, connection = await asyncio.get_running_loop().create_connection(
-                    lambda: ClientConnection(ResponseReader(KEPT, MOST_BODY), self._freed, self._closed),
+                    lambda: ClientConnection(
+                        ResponseReader(KEPT, MOST_BODY), self._freed, self._closed, self._answer_within_s
+                    ),
                     *server.address,
                 )
         except (OSError, TimeoutError) as fault:
