Wait for what is left of a connection's rest in place of dialling beside it

The call now waits for what is left, and passes the same gate as after a dial: newest list, client, connection. The second answer that comes in that time closes the connection, and the call dials.

--- a/tulipnotch/sidecar/upstream.py
+++ b/tulipnotch/sidecar/upstream.py
@@ -100,6 +100,7 @@
         self._owners: dict[ClientConnection, _Server] = {}  # of every open connection
         self._dialling = 0
         self._tasks: set[asyncio.Task[None]] = set()
+        self._resting: dict[ClientConnection, asyncio.TimerHandle] = {}  # those that a call waits for
         self._sweep: asyncio.TimerHandle | None = None
 
     def obey(self, settings: Settings) -> None:
@@ -150,9 +151,21 @@
             return
         if call.until < NEVER:
             call.timer = loop.call_later(left_us / 1e6, self._expire, call)
+        self._connect(call, server)
+
+    def _connect(self, call: Call, server: _Server) -> None:
+        """Bring the call to a connection: one at rest, one that has nearly rested, or a new one."""
+        loop = asyncio.get_running_loop()
         connection = self._take(server)
         if connection is not None:
             self._write(call, connection)
+        elif server.idle:
+            # What is left of its rest is less than a handshake costs, and costs the server nothing.
+            idle = server.idle.pop(0)
+            left_s = max(idle.since + _REST_US - self._clock.now(), 0) / 1e6
+            self._resting[idle.connection] = loop.call_later(
+                left_s, self._rested, call, server, idle.connection
+            )
         elif self._has_room():
             self._dialling += 1
             task = loop.create_task(self._dial(call, server))
@@ -161,6 +174,26 @@
         else:
             loop.call_soon(self._end, call, Outcome.UNSENT)
 
+    def _rested(self, call: Call, server: _Server, connection: ClientConnection) -> None:
+        del self._resting[connection]
+        if not self._put_to_use(call, server, connection):
+            self._connect(call, server)  # not a byte was written to it
+
+    def _put_to_use(self, call: Call, server: _Server, connection: ClientConnection) -> bool:
+        """Write the call to a connection that was waited for; say whether the connection was good."""
+        if server.is_leaving:
+            # Guards rule 3: word of its drain came meanwhile.
+            connection.close()
+            self._end(call, Outcome.UNSENT)
+        elif not self._is_wanted(call):
+            self._freed(connection)  # guards against writing what was called off; the connection is good
+        elif connection.is_usable():
+            self._write(call, connection)
+        else:
+            connection.close()
+            return False
+        return True
+
     def limit(self, call: Call, until: int) -> None:
         """Abandon the call at this time: it had no limit before."""
         if not call.ended and call.timer is None:
@@ -197,6 +230,8 @@
     def close(self) -> None:
         for task in self._tasks:
             task.cancel()
+        for timer in self._resting.values():
+            timer.cancel()
         if self._sweep is not None:
             self._sweep.cancel()
         for connection in list(self._owners):
@@ -258,16 +293,7 @@
             self._end(call, outcome)
             return
         self._owners[connection] = server
-        if server.is_leaving:
-            # Guards rule 3: word of its drain came while the dial was under way.
-            connection.close()
-            self._end(call, Outcome.UNSENT)
-        elif not self._is_wanted(call):
-            self._freed(connection)  # guards against writing what was called off; the connection is good
-        elif connection.is_usable():
-            self._write(call, connection)
-        else:
-            connection.close()
+        if not self._put_to_use(call, server, connection):
             self._end(call, Outcome.DIAL_FAILED)
 
     def _has_room(self) -> bool:
