--- a/tulipnotch/sidecar/upstream.py
+++ b/tulipnotch/sidecar/upstream.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from tulipnotch.decisions.interface import NEVER, Limits, Outcome, ServerState
+from tulipnotch.decisions.interface import NEVER, Outcome, ServerState, Settings
 from tulipnotch.sidecar.client import Address, Began, ClientConnection, Failure, Sink
 from tulipnotch.sidecar.clock import Clock
 from tulipnotch.sidecar.discovery import Listing
@@ -17,6 +17,10 @@
 # How long a connection rests after an answer.  A server may answer twice, the second time some milliseconds
 # late (1 to 3 were seen); nothing in it tells that it belongs to the request before.
 _REST_US = 10_000
+# An answer that has begun may stand still for this part of the shortest aim, while its request can still go
+# elsewhere; what one core and a busy network do to any answer is less than the least.
+_STALL_AIMS = 0.4
+_STALL_LEAST_S = 0.1
 _LARGEST_FIGURE = 1e9  # of a load report; what is larger is nonsense
 # What says that this machine, not the server, had no room for a connection.
 _OWN_FAULTS = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL)
@@ -88,18 +92,22 @@
 class Upstream:
     """All connections to servers, never more than `most`."""
 
-    def __init__(self, clock: Clock, limits: Limits) -> None:
+    def __init__(self, clock: Clock, settings: Settings) -> None:
         self._clock = clock
-        self.obey(limits)
+        self.obey(settings)
         self.most = 0  # connections; set by whoever knows how many descriptors there are
         self._servers: dict[str, _Server] = {}
         self._owners: dict[ClientConnection, _Server] = {}  # of every open connection
         self._dialling = 0
         self._tasks: set[asyncio.Task[None]] = set()
+        self._resting: dict[ClientConnection, asyncio.TimerHandle] = {}  # those that a call waits for
         self._sweep: asyncio.TimerHandle | None = None
 
-    def obey(self, limits: Limits) -> None:
-        """Go by these limits from now on."""
+    def obey(self, settings: Settings) -> None:
+        """Go by these settings from now on."""
+        limits = settings.limits
+        shortest_s = min(each.aim_us for each in settings.classes) / 1e6
+        self._answer_within_s = max(_STALL_AIMS * shortest_s, _STALL_LEAST_S)
         self._dial_within_s = limits.dial_timeout_us / 1e6
         self._use_within_us = int(limits.idle_close_us * (1.0 - _IDLE_MARGIN))
 
@@ -143,9 +151,21 @@
             return
         if call.until < NEVER:
             call.timer = loop.call_later(left_us / 1e6, self._expire, call)
+        self._connect(call, server)
+
+    def _connect(self, call: Call, server: _Server) -> None:
+        """Bring the call to a connection: one at rest, one that has nearly rested, or a new one."""
+        loop = asyncio.get_running_loop()
         connection = self._take(server)
         if connection is not None:
             self._write(call, connection)
+        elif server.idle:
+            # What is left of its rest is less than a handshake costs, and costs the server nothing.
+            idle = server.idle.pop(0)
+            left_s = max(idle.since + _REST_US - self._clock.now(), 0) / 1e6
+            self._resting[idle.connection] = loop.call_later(
+                left_s, self._rested, call, server, idle.connection
+            )
         elif self._has_room():
             self._dialling += 1
             task = loop.create_task(self._dial(call, server))
@@ -154,6 +174,26 @@
         else:
             loop.call_soon(self._end, call, Outcome.UNSENT)
 
+    def _rested(self, call: Call, server: _Server, connection: ClientConnection) -> None:
+        del self._resting[connection]
+        if not self._put_to_use(call, server, connection):
+            self._connect(call, server)  # not a byte was written to it
+
+    def _put_to_use(self, call: Call, server: _Server, connection: ClientConnection) -> bool:
+        """Write the call to a connection that was waited for; say whether the connection was good."""
+        if server.is_leaving:
+            # Guards rule 3: word of its drain came meanwhile.
+            connection.close()
+            self._end(call, Outcome.UNSENT)
+        elif not self._is_wanted(call):
+            self._freed(connection)  # guards against writing what was called off; the connection is good
+        elif connection.is_usable():
+            self._write(call, connection)
+        else:
+            connection.close()
+            return False
+        return True
+
     def limit(self, call: Call, until: int) -> None:
         """Abandon the call at this time: it had no limit before."""
         if not call.ended and call.timer is None:
@@ -190,6 +230,8 @@
     def close(self) -> None:
         for task in self._tasks:
             task.cancel()
+        for timer in self._resting.values():
+            timer.cancel()
         if self._sweep is not None:
             self._sweep.cancel()
         for connection in list(self._owners):
@@ -237,7 +279,9 @@
         try:
             async with asyncio.timeout(self._dial_within_s):
                 _, connection = await asyncio.get_running_loop().create_connection(
-                    lambda: ClientConnection(ResponseReader(KEPT, MOST_BODY), self._freed, self._closed),
+                    lambda: ClientConnection(
+                        ResponseReader(KEPT, MOST_BODY), self._freed, self._closed, self._answer_within_s
+                    ),
                     *server.address,
                 )
         except (OSError, TimeoutError) as fault:
@@ -249,16 +293,7 @@
             self._end(call, outcome)
             return
         self._owners[connection] = server
-        if server.is_leaving:
-            # Guards rule 3: word of its drain came while the dial was under way.
-            connection.close()
-            self._end(call, Outcome.UNSENT)
-        elif not self._is_wanted(call):
-            self._freed(connection)  # guards against writing what was called off; the connection is good
-        elif connection.is_usable():
-            self._write(call, connection)
-        else:
-            connection.close()
+        if not self._put_to_use(call, server, connection):
             self._end(call, Outcome.DIAL_FAILED)
 
     def _has_room(self) -> bool:
