End a wait that falls between two microseconds in place of going round it for ever

A timer that fires at just that microsecond finds the wait not over and an entry due at once, again and again within one event; where second copies are not allowed each round also adds a Cancel, so that memory grows. The look is now at the same whole figure as the comparison. tests/test_overdue.py goes round without the mend.

--- /dev/null
+++ b/tests/test_overdue.py
@@ -0,0 +1,26 @@
+"""Times that fall between two microseconds."""
+
+from __future__ import annotations
+
+from helpers import SAFE, Stage, names, settings
+
+
+def test_a_wait_that_ends_between_two_microseconds_ends() -> None:
+    # Guards against an entry of the agenda that is due at once, again and again, within one event.
+    given = settings(classes=[{**SAFE, "aim_us": 500_001}])
+    stage = Stage(given)
+    stage.servers(names(1))
+    for _ in range(300):  # until half of the aim is longer than any patience
+        request = stage.request()
+        stage.wait(1_000)
+        stage.end(request)
+    stage.request()
+    events = iter(range(10_000))
+    schedule = stage.balancer._schedule
+
+    def counted(due: int, what: int, index: int) -> None:
+        assert next(events, None) is not None, "the agenda goes round and round"
+        schedule(due, what, index)
+
+    stage.balancer._schedule = counted  # type: ignore[method-assign]
+    stage.wait(2_000_000)
--- a/tulipnotch/decisions/balancer.py
+++ b/tulipnotch/decisions/balancer.py
@@ -1060,9 +1060,9 @@
             if self._cores is not None:
                 self._follow_cores(1.0)  # no answer, no report: reports alone flatter
             self._feel(LOST_SPENT)
-        enough = max(SILENCE * self._patience(request, attempt), SILENT_AIMS * request.kind.aim_us)
+        enough = int(max(SILENCE * self._patience(request, attempt), SILENT_AIMS * request.kind.aim_us))
         if silent and waited < enough:
-            self._schedule(attempt.sent_at + int(enough), request.ident, attempt.index)
+            self._schedule(attempt.sent_at + enough, request.ident, attempt.index)
         elif (
             silent and server.ejected_until is None and self._answers - attempt.answers_before >= QUIET_PEERS
         ):
