Open a line to discovery, and set up two situations of the tests, in one place each

Three calls gave a line the same address and time; two tests heard a pushed list, and three sent a request ahead, with the same lines.

--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -233,6 +233,16 @@
     play(work)
 
 
+async def _is_heard_unasked(server: ScriptedServer) -> None:
+    """Where lists are pushed, the good one arrives whatever hangs."""
+    ears = Ears(server, pushed=True)
+    ears.discovery.start()
+    heard = await ears.next()
+    assert heard is not None and heard.version == 7
+    ears.discovery.close()
+    server.stop()
+
+
 def _watch_that_waits(monkeypatch: pytest.MonkeyPatch) -> None:
     """A watch's wait is over soon, and nothing is given up within the test."""
     monkeypatch.setattr(discovery, "_WATCH_MS", 20)
@@ -276,12 +286,7 @@
             return None if heard.connection <= hangs_at else reply(json.dumps(GOOD).encode())
 
         server = await ScriptedServer(answer).start()
-        ears = Ears(server, pushed=True)
-        ears.discovery.start()
-        heard = await ears.next()
-        assert heard is not None and heard.version == 7
-        ears.discovery.close()
-        server.stop()
+        await _is_heard_unasked(server)
 
     play(work)
 
@@ -329,12 +334,7 @@
             return await real(made, *parse_address(next(where, server.address)))
 
         monkeypatch.setattr(asyncio.get_running_loop(), "create_connection", dial, raising=False)
-        ears = Ears(server, pushed=True)
-        ears.discovery.start()
-        heard = await ears.next()
-        assert heard is not None and heard.version == 7
-        ears.discovery.close()
-        server.stop()
+        await _is_heard_unasked(server)
         slow.close()
 
     play(work)
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -6,7 +6,7 @@
 import socket
 
 import pytest
-from loopback import FULL, OK, Client, Heard, holding, line, play, request, stage, until
+from loopback import FULL, OK, Client, Heard, Stage, holding, line, play, request, stage, until
 from slow_to_accept import SlowToAccept
 
 from tulipnotch.decisions.interface import NEVER, Send
@@ -22,6 +22,14 @@
     await client.writer.wait_closed()
 
 
+async def _sent_ahead(scene: Stage) -> Client:
+    """A client with a request open and a further one behind it, so that nothing is read of it any more."""
+    client = await scene.client()
+    client.send(request("lodge", timeout="15") + request("lodge", timeout="15"))
+    await until(lambda: any(each.is_reading_paused for each in scene.sidecar.frontend.connections()))
+    return client
+
+
 async def _nothing_comes(accepted: socket.socket) -> bool:
     return await asyncio.get_running_loop().sock_recv(accepted, 1_000) == b""
 
@@ -39,9 +47,7 @@
             await until(lambda: len(scene.discovery.heard) >= 2)
             scene.discovery.tell(line("s", slow.address))
             await until(lambda: len(scene.discovery.heard) >= 3)
-            client = await scene.client()
-            client.send(request("lodge", timeout="15") + request("lodge", timeout="15"))
-            await until(lambda: any(each.is_reading_paused for each in scene.sidecar.frontend.connections()))
+            client = await _sent_ahead(scene)
             await _leave(client)
             if seen_by == "the sweep":
                 await until(lambda: scene.sidecar.open_requests == 0)
@@ -64,9 +70,7 @@
             return FULL
 
         async with stage(full, full, client_limits=_NEVER_SWEPT, bounds={"mayCancel": False}) as scene:
-            client = await scene.client()
-            client.send(request("lodge", timeout="15") + request("lodge", timeout="15"))
-            await until(lambda: any(each.is_reading_paused for each in scene.sidecar.frontend.connections()))
+            client = await _sent_ahead(scene)
             await until(lambda: len(scene.heard) == 1)
             await _leave(client)
             release.set()
@@ -82,9 +86,7 @@
     async def work() -> None:
         release, hold = holding()
         async with stage(hold, client_limits=_NEVER_SWEPT, bounds={"mayCancel": False}) as scene:
-            client = await scene.client()
-            client.send(request("lodge", timeout="15") + request("lodge", timeout="15"))
-            await until(lambda: any(each.is_reading_paused for each in scene.sidecar.frontend.connections()))
+            client = await _sent_ahead(scene)
             await until(lambda: len(scene.heard) == 1)
             await _leave(client)
             release.set()
--- a/tulipnotch/sidecar/discovery.py
+++ b/tulipnotch/sidecar/discovery.py
@@ -232,8 +232,11 @@
         task.add_done_callback(self._tasks.discard)
         return task
 
+    def _new_line(self) -> _Line:
+        return _Line(self._address, self._waits.dial_s)
+
     async def _fetch(self) -> None:
-        line, changes = _Line(self._address, self._waits.dial_s), self._changes
+        line, changes = self._new_line(), self._changes
         try:
             listing = await line.call(None, 0)
         except CallFailed as fault:
@@ -262,7 +265,7 @@
 
     async def _watch_on(self) -> None:
         """Watch until a call fails.  The first call waits for nothing, so that it is answered soon."""
-        line = _Line(self._address, self._waits.dial_s)
+        line = self._new_line()
         try:
             wait_ms = 0
             while True:
@@ -308,7 +311,7 @@
                 if not done:
                     spare -= 1
                     overdue_s = self._waits.overdue_s or _WATCH_OVERDUE_S
-                    begin(_Line(self._address, self._waits.dial_s), 0)
+                    begin(self._new_line(), 0)
         finally:
             for call, (its, _) in calls.items():
                 call.cancel()
