Test descriptors full of idle clients while discovery is away, on a real process

It held where probed, and no test kept it. A started program with RLIMIT_NOFILE 96 and no list ever, 300 idle clients that connect again when let go, discovery refused, answering 503 or hung (what hung is never answered), then back, lists asked for and pushed: the door answers, working clients get in at their first try (answered by the sidecar while there is no list, served by the server after it), and a first list is taken.

Seen red with the reserve of descriptors taken away (_RESERVED 0, _FOR_CLIENTS 1.0): the program's door no longer answers, TimeoutError.

--- a/tests/running.py
+++ b/tests/running.py
@@ -96,9 +96,12 @@
 
 @asynccontextmanager
 async def running_on(
-    config: Path, server: ScriptedServer, listener: socket.socket | None = None
+    config: Path, server: ScriptedServer, listener: socket.socket | None = None, meanwhile: str | None = None
 ) -> AsyncIterator[Program]:
-    """The program, from the moment in which it serves, with the listening socket that it inherits, if any."""
+    """The program, from the moment in which it serves, with the listening socket that it inherits, if any.
+
+    `meanwhile` matches the further lines that its log may hold until then; without it there are none.
+    """
     if listener is None:
         process = await started(config)
     else:
@@ -109,6 +112,8 @@
         ports = []
         for what in ("operators are heard on", "serves on"):
             said = (await soon(process.stderr.readline())).decode()
+            while meanwhile is not None and re.match(meanwhile, said):
+                said = (await soon(process.stderr.readline())).decode()
             told = re.search(what + r" .*:(\d+)", said)
             assert told is not None, said
             ports.append(int(told[1]))
--- /dev/null
+++ b/tests/test_descriptors.py
@@ -0,0 +1,160 @@
+"""Clients hold every descriptor that they may while discovery is away: all others still get theirs."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import resource
+import socket
+import time
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from pathlib import Path
+
+import pytest
+from loopback import HOST, OK, Heard, ScriptedDiscovery, ScriptedServer, line, play, reply, soon
+from running import GOOD, Program, running_on
+
+DESCRIPTORS = 96
+IDLE = 300  # clients, several for each descriptor
+AT_LEAST = 20  # descriptors that clients take of these 96
+CONNECTS_AGAIN_S = 0.5
+LISTED_WITHIN_S = 6.0  # of discovery's return
+AWAY = ["refused", "503", "hung"]
+
+
+class Returning(ScriptedDiscovery):
+    """Discovery that is away, in one of three ways, until it is back; what hung before is never answered."""
+
+    def __init__(self, away: str) -> None:
+        super().__init__()
+        self.away: str | None = away
+        # Bound and not listening: the address stays ours, and who connects is refused.
+        self._holder = socket.socket()
+        self._holder.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self._holder.bind((HOST, 0))
+        self.port = int(self._holder.getsockname()[1])
+
+    async def go(self) -> None:
+        if self.away != "refused":
+            await self.start(self.port)
+
+    async def come_back(self) -> None:
+        was, self.away = self.away, None
+        if was == "refused":
+            await self.start(self.port)
+
+    def stop(self) -> None:
+        self._holder.close()
+        if self._server is not None:
+            super().stop()
+
+    async def _answer(self, heard: Heard) -> bytes:
+        if self.away == "503":
+            return reply(b"", "503 Busy")
+        if self.away == "hung":
+            await asyncio.Event().wait()
+        return await super()._answer(heard)
+
+
+@asynccontextmanager
+async def idle_clients(port: int) -> AsyncIterator[None]:
+    """Clients that connect and say nothing, and connect again after they were let go."""
+
+    async def idle() -> None:
+        while True:
+            try:
+                reader, writer = await asyncio.open_connection(HOST, port)
+                try:
+                    await reader.read()
+                finally:
+                    writer.close()
+            except OSError:
+                pass
+            await asyncio.sleep(CONNECTS_AGAIN_S)
+
+    tasks = [asyncio.ensure_future(idle()) for _ in range(IDLE)]
+    try:
+        yield
+    finally:
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+
+def _held(running: Program) -> int:
+    return sum(1 for _ in Path(f"/proc/{running.process.pid}/fd").iterdir())
+
+
+async def _until_held(running: Program, count: int) -> None:
+    async def work() -> None:
+        while _held(running) < count:
+            await asyncio.sleep(0.01)
+
+    await soon(work())
+
+
+async def _until_listed(running: Program) -> None:
+    async def work() -> None:
+        while "app.members=1" not in await running.call("telemetry"):
+            await asyncio.sleep(0.02)
+
+    await soon(work())
+
+
+async def _health(running: Program) -> int:
+    client = await running.client()
+    client.send(b"GET /_health HTTP/1.1\r\nHost: sidecar\r\n\r\n")
+    status = (await client.answer()).status
+    client.close()
+    return status
+
+
+@pytest.mark.parametrize("mode", ["on_request", "pushed"])
+@pytest.mark.parametrize("away", AWAY)
+def test_idle_clients_take_no_descriptor_that_others_need(away: str, mode: str, tmp_path: Path) -> None:
+    # Idle clients take all that clients may while discovery is away and no list was ever held.  At its return
+    # it is dialled, a first list is taken, servers are dialled, and operators and working clients get through.
+    async def work() -> None:
+        server = await ScriptedServer(OK).start()
+        agent = Returning(away)
+        agent.servers = [line("s-1", server.address)]
+        await agent.go()
+        config = tmp_path / "config.json"
+        given = {
+            **GOOD,
+            "discovery": f"{HOST}:{agent.port}",
+            "limits": {**GOOD["limits"], "sockets": DESCRIPTORS},
+            "settings": {**GOOD["settings"], "discovery": mode},
+        }
+        config.write_text(json.dumps(given))
+        try:
+            async with running_on(config, server, meanwhile="no (fresh )?list ") as running:
+                limit = (DESCRIPTORS, DESCRIPTORS)
+                resource.prlimit(running.process.pid, resource.RLIMIT_NOFILE, limit)
+                before = _held(running)
+                async with idle_clients(running.port):
+                    await _until_held(running, before + AT_LEAST)
+                    assert await running.call("readyz") == ["+OK ready"]
+                    assert [await _health(running) for _ in range(5)] == [200] * 5
+                    assert "app.members=0" in await running.call("telemetry")
+                    await agent.come_back()
+                    back_at = time.monotonic()
+                    await _until_listed(running)
+                    listed_s = time.monotonic() - back_at
+                    print(f"{mode} {away}: listed after {listed_s:.2f} s")
+                    assert listed_s < LISTED_WITHIN_S
+                    statuses = [(await (await running.client()).ask()).status for _ in range(10)]
+                    assert statuses == [200] * 10
+                    assert server.connections >= 1
+                    assert _held(running) >= before + AT_LEAST
+                    assert await running.call("readyz") == ["+OK ready"]
+                running.process.kill()
+                assert running.process.stderr is not None
+                told = (await soon(running.process.stderr.read())).decode()
+                assert "internal error" not in told and "Errno 24" not in told
+        finally:
+            agent.stop()
+            server.stop()
+
+    play(work)
