Tell the time to ready in the log, read it from folders of logs, and bound each start by a test

Nine in ten restarted processes are to be ready within 10 s, and nothing told how long a start took: the log has no event before the door opens and no time in its text form. `serving` now has `after_ms`, from the program's first line (tulipnotch/sidecar/__init__.py, before the rest is loaded) to ready. `python -m benchmarks.ready LOGS` walks a folder and gives count, p50, p90 and longest of all starts and of the restarts among them, for each folder and in all, and names logs whose last process never became ready.

By reading each wait has a bound (1, 1 and 3 s, 2 s in a row at most); no bound was missing. tests/test_ready.py starts processes with discovery refused, 503 and hung; asked, pushed, no server known, takeover: the waits are as in the table, and each ready 1 s after them at most.

--- a/tests/cli/test_commands.py
+++ b/tests/cli/test_commands.py
@@ -88,7 +88,10 @@
     guard.cancel()
     assert process.wait(20) == 0
     assert {each["event"] for each in events} == {"door_open", "serving", "no_fresh_list", "no_list"}
-    assert events[-1].keys() == {"event", "level", "at", "name", "address"}
+    assert events[-1].keys() == {"event", "level", "at", "name", "address", "after_ms"}
+    # It knew no server and no list came: the longest of its waits is in the time to ready.
+    (waited,) = [each["waited_s"] for each in events if each["event"] == "no_fresh_list"]
+    assert events[-1]["after_ms"] >= 1_000 * waited
     assert [each["event"] for each in rest] == ["draining", "drained"]
     process.stderr.close()
 
--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -5,14 +5,14 @@
 import asyncio
 import json
 import resource
-import socket
 import time
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from pathlib import Path
 
 import pytest
-from loopback import HOST, OK, Heard, ScriptedDiscovery, ScriptedServer, line, play, reply, soon
+from away import AWAY, Returning
+from loopback import HOST, OK, ScriptedServer, line, play, soon
 from running import GOOD, Program, running_on
 
 DESCRIPTORS = 96
@@ -20,41 +20,6 @@
 AT_LEAST = 20  # descriptors that clients take of these 96
 CONNECTS_AGAIN_S = 0.5
 LISTED_WITHIN_S = 6.0  # of discovery's return
-AWAY = ["refused", "503", "hung"]
-
-
-class Returning(ScriptedDiscovery):
-    """Discovery that is away, in one of three ways, until it is back; what hung before is never answered."""
-
-    def __init__(self, away: str) -> None:
-        super().__init__()
-        self.away: str | None = away
-        # Bound and not listening: the address stays ours, and who connects is refused.
-        self._holder = socket.socket()
-        self._holder.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        self._holder.bind((HOST, 0))
-        self.port = int(self._holder.getsockname()[1])
-
-    async def go(self) -> None:
-        if self.away != "refused":
-            await self.start(self.port)
-
-    async def come_back(self) -> None:
-        was, self.away = self.away, None
-        if was == "refused":
-            await self.start(self.port)
-
-    def stop(self) -> None:
-        self._holder.close()
-        if self._server is not None:
-            super().stop()
-
-    async def _answer(self, heard: Heard) -> bytes:
-        if self.away == "503":
-            return reply(b"", "503 Busy")
-        if self.away == "hung":
-            await asyncio.Event().wait()
-        return await super()._answer(heard)
 
 
 @asynccontextmanager
@@ -114,7 +79,7 @@
 @pytest.mark.parametrize("away", AWAY)
 def test_idle_clients_take_no_descriptor_that_others_need(away: str, mode: str, tmp_path: Path) -> None:
     # Idle clients take all that clients may while discovery is away and no list was ever held.  At its return
-    # it is dialled, a first list is taken, servers are dialled, and operators and working clients get through.
+    # that is dialled, a first list is taken, servers are dialled, operators and working clients get through.
     async def work() -> None:
         server = await ScriptedServer(OK).start()
         agent = Returning(away)
--- /dev/null
+++ b/tests/test_ready.py
@@ -0,0 +1,139 @@
+"""What a start waits for ends in time while discovery is away, and the logs tell how long each start took."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import re
+import socket
+import time
+from dataclasses import dataclass
+from pathlib import Path
+
+import pytest
+from away import AWAY, Returning
+from loopback import HOST, line, play, soon
+from running import GOOD, started
+
+from benchmarks import ready
+from tulipnotch.sidecar import logs
+from tulipnotch.sidecar.listener import bind
+
+LATE_S = 1.0  # for a busy machine, beyond the waits
+
+
+@dataclass(frozen=True, slots=True)
+class Told:
+    """What a process wrote from its open door to ready."""
+
+    took_s: float
+    waits_s: list[float]  # for a list, in vain
+    after_ms: int
+
+
+async def _start(config: Path, listener: socket.socket | None) -> Told:
+    environ = {} if listener is None else {"BALANCER_INHERITED_FD": str(listener.fileno())}
+    process = await started(config, () if listener is None else (listener.fileno(),), **environ)
+    try:
+        assert process.stderr is not None
+        waits_s: list[float] = []
+        begun = 0.0
+        while True:
+            said = (await soon(process.stderr.readline())).decode()
+            assert said, "it ended"
+            found = ready.event_of(said)
+            assert found is not None, said
+            event, fields = found
+            if event == "door_open":
+                begun = time.monotonic()
+            elif event == "no_fresh_list":
+                waits_s.append(float(re.findall(r"in ([0-9.]+) s", said)[0]))
+            elif event == "serving":
+                return Told(time.monotonic() - begun, waits_s, fields["after_ms"])
+    finally:
+        process.kill()
+        await process.wait()
+
+
+@pytest.mark.parametrize(
+    ("mode", "knows_servers", "takes_over", "waits_s"),
+    [
+        ("on_request", True, False, {"refused": [], "503": [], "hung": []}),
+        ("on_request", False, False, {"refused": [1.0], "503": [1.0], "hung": [1.0]}),
+        ("pushed", True, False, {"refused": [], "503": [], "hung": [1.0]}),
+        ("pushed", False, False, {"refused": [1.0], "503": [1.0], "hung": [1.0, 1.0]}),
+        ("on_request", True, True, {"refused": [3.0], "503": [3.0], "hung": [3.0]}),
+    ],
+    ids=["asked", "asked-unknown", "pushed", "pushed-unknown", "takeover"],
+)
+def test_a_restart_is_ready_within_its_waits_while_discovery_is_away(
+    mode: str, knows_servers: bool, takes_over: bool, waits_s: dict[str, list[float]], tmp_path: Path
+) -> None:
+    async def once(away: str) -> None:
+        agent = Returning(away)
+        await agent.go()
+        servers = [line("s-1", f"{HOST}:9")] if knows_servers else []
+        config = tmp_path / f"{away}.json"
+        given = {
+            **GOOD,
+            "discovery": f"{HOST}:{agent.port}",
+            "known": {"version": 1, "full": True, "servers": servers},
+            "settings": {**GOOD["settings"], "discovery": mode},
+        }
+        config.write_text(json.dumps(given))
+        try:
+            with bind((HOST, 0)) as listener:
+                told = await _start(config, listener if takes_over else None)
+        finally:
+            agent.stop()
+        assert told.waits_s == waits_s[away]
+        assert told.took_s < sum(waits_s[away]) + LATE_S
+        assert told.after_ms >= 1_000 * sum(waits_s[away])
+
+    async def work() -> None:
+        await asyncio.gather(*(once(each) for each in AWAY))
+
+    play(work)
+
+
+def _serving(name: str, after_ms: int) -> str:
+    return logs.line("serving", {"name": name, "address": "127.0.0.1:80", "after_ms": after_ms})
+
+
+def _no_fresh_list() -> str:
+    return logs.line("no_fresh_list", {"waited_s": 1.0})
+
+
+def test_the_reader_finds_starts_and_restarts_in_text_and_json_logs(
+    tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    roll, herd = tmp_path / "roll+mass", tmp_path / "herd+mass" / "n"
+    roll.mkdir()
+    herd.mkdir(parents=True)
+    first = [_serving(f"n{number}", 100 + number) for number in range(20)]
+    again = [_no_fresh_list(), _serving("n3", 1_400), "draining", "drained", _serving("n3", 300)]
+    (roll / "sidecars.log").write_text("\n".join([*first, *again, "something else {"]))
+    told = {"level": "info", "at": "2026-01-01T00:00:00Z"}
+    door = {"event": "door_open", "address": "127.0.0.1:81", **told}
+    serving = {"event": "serving", "name": "n1", "address": "127.0.0.1:80", "after_ms": 250, **told}
+    (herd / "n1.err").write_text(
+        "\n".join(["12.5 " + json.dumps(door), json.dumps(serving), "null", "{}", "[1"])
+    )
+    (herd / "n2.err").write_text(json.dumps(door) + "\n")
+    (herd / "core").write_bytes(b"\xff\x00{" * 100)
+    assert ready.main([str(tmp_path), "--json"]) == 0
+    whole = json.loads(capsys.readouterr().out)
+    assert whole["never_ready"] == ["herd+mass/n/n2.err"]
+    assert whole["folders"]["roll+mass"] == {
+        "starts": {"count": 22, "p50": 111, "p90": 119, "longest": 1_400, "waited_in_vain": 1},
+        "restarts": {"count": 2, "p50": 1_400, "p90": 1_400, "longest": 1_400, "waited_in_vain": 1},
+    }
+    assert whole["folders"]["herd+mass/n"]["starts"]["longest"] == 250
+    assert whole["folders"]["herd+mass/n"]["restarts"]["count"] == 0
+    assert whole["folders"]["all"]["starts"]["count"] == 23
+    assert ready.main([str(tmp_path)]) == 0
+    assert "never ready: herd+mass/n/n2.err" in capsys.readouterr().out
+
+
+def test_a_folder_without_a_start_is_told_by_the_exit_code(tmp_path: Path) -> None:
+    assert ready.main([str(tmp_path)]) == 1
--- a/tulipnotch/sidecar/__main__.py
+++ b/tulipnotch/sidecar/__main__.py
@@ -12,6 +12,7 @@
 import signal
 import socket
 import sys
+import time
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -21,6 +22,7 @@
 
 from tulipnotch.decisions.interface import ServiceLevel
 from tulipnotch.overload.levels import Level
+from tulipnotch.sidecar import BEGAN
 from tulipnotch.sidecar.config import Config, ConfigError, load
 from tulipnotch.sidecar.control import Control, ControlLimits
 from tulipnotch.sidecar.listener import adopt
@@ -128,7 +130,8 @@
     await asyncio.wait((starting, stopping), return_when=asyncio.FIRST_COMPLETED)
     if starting.done():
         starting.result()  # raises what went wrong
-        log("serving", name=config.name, address=f"{config.listen[0]}:{sidecar.frontend.port}")
+        address = f"{config.listen[0]}:{sidecar.frontend.port}"
+        log("serving", name=config.name, address=address, after_ms=int((time.monotonic() - BEGAN) * 1e3))
         gc.freeze()  # what is there now stays: collections need not look at it
         await stopping
     else:
--- a/tulipnotch/sidecar/logs.py
+++ b/tulipnotch/sidecar/logs.py
@@ -34,7 +34,7 @@
 
 
 EVENTS: Mapping[str, EventForm] = {
-    "serving": EventForm("info", "{name} serves on {address}"),
+    "serving": EventForm("info", "{name} serves on {address}, {after_ms} ms after its start"),
     "door_open": EventForm("info", "operators are heard on {address}"),
     "draining": EventForm("info", "draining"),
     "drained": EventForm("info", "drained"),
