Pass every attempt through one look at its client, and count those withheld

Need: an attempt that begins over 0.1 s after its client has gone is to be a break. Two ways missed it:

- Two attempts of one request decided on in one event.
The look before the first finds the client gone and settles the request; the look before the second then had no client to look at and let it out (Sidecar._send, look).
- The last byte of a body that passes through, with which its attempt begins: nothing was looked at between the head and it (ClientConnection._write_on).
The rest of a request and its client's end lying together in the socket are read in that order, so the last byte went out first.

Change: Call.look becomes Call.wanted, which says whether a client still waits. Upstream._is_wanted is the gate: it calls off what nobody waits for, and is passed before a dial, a first byte and each further piece of a body. A body that was whole from the start is looked at as often as before. app.upstream_requests_withheld counts attempts that no server got whole since their clients had gone, where attempts end (Sidecar._attempt_ended). A further test holds all figures of the door and the rows of the on-call page against each other; it had none.

Tests: half-close, close and reset, with a request pipelined behind (reading paused) or none, in the instant of a timer, of a first attempt that is turned away, fails or is dropped, of a connection's rest and of a dial that comes up, and with the rest of a request and the end unread together; controls in which the client stays.

--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -143,7 +143,8 @@
     assert "app.downstream_requests.look.failed=1" in lines
     assert "app.downstream_requests.new.completed=0" in lines
     assert "app.pending=3" in lines
-    assert len(lines) == 3 * 3 + 4
+    assert "app.upstream_requests_withheld=0" in lines
+    assert len(lines) == 3 * 3 + 5
 
 
 def figures_of(answer: list[str]) -> dict[str, int]:
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -3,15 +3,29 @@
 from __future__ import annotations
 
 import asyncio
+import select
 import socket
+import struct
+from collections.abc import Iterator
+from contextlib import contextmanager
 
 import pytest
-from loopback import FULL, OK, Client, Heard, Stage, holding, line, play, request, stage, until
+from loopback import ERROR, FULL, HOST, OK, Client, Heard, Stage, holding, line, play, request, stage, until
 from slow_to_accept import SlowToAccept
 
-from tulipnotch.decisions.interface import NEVER, Send
+from tulipnotch.decisions import Settings
+from tulipnotch.decisions.interface import (
+    NEVER,
+    Action,
+    AttemptEnded,
+    Event,
+    Outcome,
+    RequestArrived,
+    Send,
+    TimerFired,
+)
 from tulipnotch.sidecar import upstream
-from tulipnotch.sidecar.frontend import ClientLimits
+from tulipnotch.sidecar.frontend import ClientLimits, ClientSide, State
 
 _NEVER_SWEPT = ClientLimits(sweep_s=600.0)
 
@@ -139,3 +153,248 @@
         slow.close()
 
     play(work)
+
+
+# What follows forces the order: within one step of the event loop the client leaves, its leaving has reached
+# the sidecar's socket, and what begins an attempt is handled, all before the loop or a sweep can see the end.
+
+_AHEAD = request("lodge", timeout="15")
+_LEAVING = ("half-close", "close", "reset")
+
+
+@contextmanager
+def _application(scene: Stage) -> Iterator[socket.socket]:
+    """A plain socket, whose calls take effect at once."""
+    with socket.create_connection((HOST, scene.sidecar.frontend.port)) as own:
+        yield own
+
+
+def _go(application: socket.socket, how: str, at_sidecar: ClientSide | None) -> None:
+    """Leave, and return only once the leaving lies in the sidecar's socket."""
+    if how == "stays":
+        return
+    if how == "half-close":
+        application.shutdown(socket.SHUT_WR)
+    else:
+        if how == "reset":
+            application.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        application.close()
+    assert at_sidecar is not None and at_sidecar._transport is not None
+    ended = select.poll()
+    ended.register(at_sidecar._transport.get_extra_info("socket").fileno(), select.POLLRDHUP)
+    assert ended.poll(20_000)
+
+
+def _withheld(scene: Stage) -> int:
+    """What operators see of it."""
+    (found,) = (
+        each
+        for each in scene.sidecar.calls()["telemetry"]()
+        if each.startswith("app.upstream_requests_withheld=")
+    )
+    return int(found.partition("=")[2])
+
+
+def _only(scene: Stage) -> ClientSide:
+    (found,) = scene.sidecar.frontend.connections()
+    return found
+
+
+async def _is_over(scene: Stage) -> None:
+    await until(lambda: scene.sidecar.open_requests == 0)
+    await until(lambda: not scene.sidecar._upstream._dialling)
+
+
+async def _paused(scene: Stage, ahead: bytes) -> None:
+    """Until what was sent ahead is read, and nothing more of this client is."""
+    if ahead:
+        await until(lambda: all(each.is_reading_paused for each in scene.sidecar.frontend.connections()))
+
+
+class _Scripted:
+    """Decisions that send a request to these servers when a timer fires, and at no other time."""
+
+    def __init__(self, *servers: str) -> None:
+        self._servers = servers
+        self._request = 0
+        self.ended: list[Outcome] = []
+
+    def __call__(self, settings: Settings, seed: int) -> _Scripted:
+        return self
+
+    def handle(self, now: int, event: Event) -> list[Action]:
+        if isinstance(event, RequestArrived):
+            self._request = event.request
+        if isinstance(event, AttemptEnded):
+            self.ended.append(event.outcome)
+        if isinstance(event, TimerFired):
+            return [Send(self._request, each, NEVER) for each in self._servers]
+        return []
+
+    def members(self) -> tuple[int, int]:
+        return len(self._servers), 0
+
+
+@pytest.mark.parametrize("ahead", [b"", _AHEAD], ids=["", "pipelined"])
+@pytest.mark.parametrize("how", _LEAVING)
+def test_a_timer_that_falls_due_in_the_instant_of_the_leaving(
+    how: str, ahead: bytes, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # Two attempts are due at once, as after a step of the loop that came late.
+    decisions = _Scripted("s-0", "s-1")
+    monkeypatch.setattr("tulipnotch.sidecar.sidecar.Balancer", decisions)
+
+    async def work() -> None:
+        async with stage(OK, OK, client_limits=_NEVER_SWEPT) as scene:
+            with _application(scene) as application:
+                application.send(request("check") + ahead)
+                await until(lambda: scene.sidecar.open_requests == 1)
+                await _paused(scene, ahead)
+                _go(application, how, _only(scene))
+                scene.sidecar._post(TimerFired("due"))
+                await _is_over(scene)
+                assert decisions.ended == [Outcome.UNSENT] * 2
+                assert _withheld(scene) == 2
+                assert scene.heard == [] and [each.connections for each in scene.servers] == [0, 0]
+
+    play(work)
+
+
+@pytest.mark.parametrize("end", [FULL, ERROR, None], ids=["full", "failed", "dropped"])
+@pytest.mark.parametrize("ahead", [b"", _AHEAD], ids=["", "pipelined"])
+@pytest.mark.parametrize("how", [*_LEAVING, "stays"])
+def test_a_first_attempt_that_ends_in_the_instant_of_the_leaving(
+    how: str, ahead: bytes, end: bytes | None
+) -> None:
+    async def work() -> None:
+        _, hold = holding()
+        async with stage(hold, hold, client_limits=_NEVER_SWEPT, bounds={"mayCancel": False}) as scene:
+            scene.sidecar._balancer._extra = 9.0  # it may repeat what failed
+            with _application(scene) as application:
+                application.send(request("check") + ahead)
+                await until(lambda: len(scene.heard) == 1)
+                await _paused(scene, ahead)
+                _go(application, how, None if how == "stays" else _only(scene))
+                (held,) = scene.sidecar._open.values()
+                connection = held.calls[0].connection
+                assert connection is not None
+                if end is not None:
+                    connection._read(end)
+                else:
+                    connection.connection_lost(None)
+                if how == "stays":
+                    await until(lambda: len(scene.heard) == 2)
+                    assert _withheld(scene) == 0
+                    return
+                await _is_over(scene)
+                assert len(scene.heard) == 1 and sum(each.connections for each in scene.servers) == 1
+                assert _withheld(scene) == 1
+
+    play(work)
+
+
+@pytest.mark.parametrize("ahead", [b"", _AHEAD], ids=["", "pipelined"])
+@pytest.mark.parametrize("how", [*_LEAVING, "stays"])
+def test_a_connection_has_rested_in_the_instant_of_the_leaving(
+    how: str, ahead: bytes, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(upstream, "_REST_US", 600_000_000)  # its end is brought on here
+
+    async def work() -> None:
+        async with stage(OK, client_limits=_NEVER_SWEPT, bounds={"mayCancel": False}) as scene:
+            assert (await scene.ask("check")).status == 200
+            scene.clients[0].close()
+            await until(lambda: scene.sidecar.frontend.open_connections == 0)
+            with _application(scene) as application:
+                application.send(request("lodge", timeout="15") + ahead)
+                rests = scene.sidecar._upstream._resting
+                await until(lambda: len(rests) == 1)
+                await _paused(scene, ahead)
+                _go(application, how, None if how == "stays" else _only(scene))
+                ((connection, timer),) = rests.items()
+                timer.cancel()
+                (held,) = scene.sidecar._open.values()
+                server = scene.sidecar._upstream._servers["s-0"]
+                scene.sidecar._upstream._rested(held.calls[0], server, connection)
+                if how == "stays":
+                    await until(lambda: len(scene.heard) == 2)
+                    return
+                await _is_over(scene)
+                assert len(scene.heard) == 1 and scene.servers[0].connections == 1
+                assert _withheld(scene) == 1
+
+    play(work)
+
+
+@pytest.mark.parametrize("ahead", [b"", _AHEAD], ids=["", "pipelined"])
+@pytest.mark.parametrize("size", [0, 40_000, 200_000], ids=["no body", "kept", "passing through"])
+@pytest.mark.parametrize("how", [*_LEAVING, "stays"])
+def test_the_rest_of_a_request_and_the_leaving_come_together(how: str, size: int, ahead: bytes) -> None:
+    # An attempt begins with the last byte of its request: what passes through is at its server by half.
+    async def work() -> None:
+        async with stage(OK, client_limits=_NEVER_SWEPT, bounds={"mayCancel": False}) as scene:
+            with _application(scene) as application:
+                whole = request("lodge", timeout="15", body=b"x" * size)
+                cut = 20 if size == 0 else len(whole) - 20_000
+                application.sendall(whole[:cut])
+                state = State.PASSING if size > 100_000 else State.READING
+                await until(lambda: [each.state for each in scene.sidecar.frontend.connections()] == [state])
+                if state is State.PASSING:
+                    await until(lambda: scene.servers[0].connections == 1)
+                    (held,) = scene.sidecar._open.values()
+                    await until(lambda: held.incoming.body.size == size - 20_000)
+                at_sidecar = _only(scene)
+                application.sendall(whole[cut:] + ahead)
+                _go(application, how, None if how == "stays" else at_sidecar)
+                if how == "stays":
+                    await until(lambda: len(scene.heard) == 1 + bool(ahead))
+                    return
+                await until(lambda: scene.sidecar.frontend.open_connections == 0)
+                await _is_over(scene)
+                assert scene.heard == []
+                if state is State.PASSING:
+                    await until(lambda: scene.servers[0].closed == [0])
+                assert scene.heard == []
+                assert scene.servers[0].connections == _withheld(scene) == (state is State.PASSING)
+
+    play(work)
+
+
+def test_a_dial_that_comes_up_in_the_instant_of_the_leaving() -> None:
+    # Three at once, each with a request behind the open one: connections come up late by a second.
+    async def work() -> None:
+        slow = SlowToAccept()
+        await slow.fill()
+        bounds = {"dialTimeoutUs": 15_000_000, "mayCancel": False}
+        async with stage(bounds=bounds, client_limits=_NEVER_SWEPT) as scene:
+            await until(lambda: len(scene.discovery.heard) >= 2)
+            scene.discovery.tell(line("s", slow.address))
+            await until(lambda: len(scene.discovery.heard) >= 3)
+            applications = [socket.create_connection((HOST, scene.sidecar.frontend.port)) for _ in _LEAVING]
+            for each in applications:
+                each.send(request("lodge", timeout="15") + _AHEAD)
+            await until(lambda: scene.sidecar.open_requests == 3)
+            await until(lambda: len(list(scene.sidecar.frontend.connections())) == 3)
+            await _paused(scene, _AHEAD)
+            assert scene.sidecar._upstream._dialling == 3
+            for how, each in zip(_LEAVING, applications, strict=True):
+                name = each.getsockname()
+                (at_sidecar,) = (
+                    one
+                    for one in scene.sidecar.frontend.connections()
+                    if one._transport is not None and one._transport.get_extra_info("peername") == name
+                )
+                _go(each, how, at_sidecar)
+            slow.listener.listen(16)  # its line is long enough now for all that come again
+            accepted = [await slow.let_go() for _ in applications]
+            await _is_over(scene)
+            assert _withheld(scene) == 3
+            scene.sidecar.close()  # the connections themselves may be kept
+            for came in accepted:
+                assert await _nothing_comes(came)
+                came.close()
+            for each in applications:
+                each.close()
+        slow.close()
+
+    play(work)
--- a/tests/test_on_call.py
+++ b/tests/test_on_call.py
@@ -7,6 +7,7 @@
 
 from tulipnotch.decisions.interface import Outcome
 from tulipnotch.sidecar.logs import EVENTS
+from tulipnotch.sidecar.telemetry import Telemetry
 
 ROOT = Path(__file__).parent.parent
 MODULE = (ROOT / "tulipnotch" / "decisions" / "balancer.py").read_text(encoding="utf-8")
@@ -50,3 +51,16 @@
         assert fixed and fixed in page, form.text
     for text in re.findall(r'print\(f"(tulipnotch: [^"]*)"', source):
         assert max(re.split(r"\{[^}]*\}", text), key=len).strip(" :") in page, text
+
+
+def test_every_figure_of_the_operators_door_stands_on_the_on_call_page() -> None:
+    page = (ROOT / "docs" / "on-call.md").read_text(encoding="utf-8")
+    rows = [each.split("|")[1] for each in page.splitlines() if each.startswith("| `app.")]
+    shown = set(re.findall(r"`(?:app)?\.([\w.]+)`", " ".join(rows)))
+    source = (ROOT / "tulipnotch" / "sidecar" / "sidecar.py").read_text(encoding="utf-8")
+    gauges = dict.fromkeys(
+        re.findall(r'"(\w+)": \w', source[source.index("gauges = {") :].split("return")[0]), 0
+    )
+    kept = [each.partition("=")[0].removeprefix("app.") for each in Telemetry(["C"]).lines(gauges)]
+    first = "downstream_requests.C."  # the page gives the ends after the first by themselves
+    assert {each if each == f"{first}completed" else each.removeprefix(first) for each in kept} == shown
--- a/tulipnotch/sidecar/client.py
+++ b/tulipnotch/sidecar/client.py
@@ -83,6 +83,7 @@
         self._ended: Ended | None = None
         self._written: Callable[[], None] | None = None  # until the request's last byte is written
         self._began: Began | None = None
+        self._wanted: Callable[[], bool] | None = None  # asked before more of a body is written
         self._sink: Sink | None = None
         self._request: Request | None = None  # while a part of it is still to be written
         self._has_backlog = False  # whether the transport holds what the network did not take yet
@@ -107,19 +108,23 @@
         ended: Ended,
         written: Callable[[], None] | None = None,
         began: Began | None = None,
+        wanted: Callable[[], bool] | None = None,
     ) -> None:
         """Write a request; `ended` is called exactly once, but never from within this call.
 
         `written` is called when its last byte was handed to the network, if that comes about.  `began` is
         asked who takes an answer that is too large to be kept; without it, such an answer is spoilt.
+        `wanted` is asked before each piece of a body that comes after this call, its last one among them:
+        whoever says no has closed this connection, and nothing more is written.
         """
         assert self._transport is not None and self._ended is None
-        self._ended, self._written, self._began = ended, written, began
+        self._ended, self._written, self._began, self._wanted = ended, written, began, None
         self._reader.expect(is_head=request.method == b"HEAD")
         self._request = request
         self._write(request.start())
         request.body.on_more = self._write_on
         self._write_on()
+        self._wanted = wanted  # what goes in this instant, its caller has looked at
 
     def pause(self) -> None:
         """Read no more of the answer until its taker has room."""
@@ -140,7 +145,7 @@
         transport itself closes its socket only in a later round of the event loop, and until then a further
         attempt would be a second copy beside this one.
         """
-        self._ended = self._written = self._began = self._sink = None
+        self._ended = self._written = self._began = self._wanted = self._sink = None
         self._let_go_of_body()
         self._stop_timer()
         if self._transport is not None and not self._closed:
@@ -200,6 +205,8 @@
         """Write what has come of the body, as far as the network takes it."""
         if self._closed or self._has_backlog:
             return
+        if self._request is not None and self._wanted is not None and not self._wanted():
+            return
         request = self._request
         if request is not None:
             self._write(request.framed(request.body.take()))
@@ -283,7 +290,7 @@
         # Guards against an answer that belongs to another request: nothing in it names its own, so a
         # connection that brought more than was due, or before all was asked, is never used again.
         if self._reader.keep_alive and not self.is_unwritten and not self._reader.has_more:
-            self._began = self._sink = None
+            self._began = self._wanted = self._sink = None
             self._on_free(self)
         else:
             self.close()
--- a/tulipnotch/sidecar/sidecar.py
+++ b/tulipnotch/sidecar/sidecar.py
@@ -89,10 +89,21 @@
 class _Open:
     """A request that was taken: until it is answered and its attempts have ended."""
 
-    __slots__ = ("calls", "client", "incoming", "last_outcome", "out", "reading", "streamed", "whole_at")
+    __slots__ = (
+        "calls",
+        "client",
+        "has_left",
+        "incoming",
+        "last_outcome",
+        "out",
+        "reading",
+        "streamed",
+        "whole_at",
+    )
 
     def __init__(self, client: ClientSide, incoming: Incoming) -> None:
         self.client: ClientSide | None = client  # None: it has its answer, or the first part of it, or left
+        self.has_left = False  # whether the client went before it had an answer, or its body was given up
         self.reading: ClientSide | None = None  # who an answer is being passed on to
         self.streamed: int | None = None  # by which attempt
         self.whole_at = 0  # when the last byte of a request came that had to pass through
@@ -437,6 +448,8 @@
             self._stream_over(held, Result.FAILED)
             self._upstream.cancel(held.calls[held.streamed])
             return
+        if held is not None:
+            held.has_left = True
         self._settle(request)
         self._post(RequestGone(request))
         self._forget_if_over(request)
@@ -449,6 +462,8 @@
             self._forget_if_over(attempt.request)
             return
         held.last_outcome = outcome
+        if held.has_left and outcome is Outcome.UNSENT:
+            self.telemetry.attempt_withheld()
         if outcome is Outcome.DELIVERED and response is not None:
             self._answer(attempt.request, 200, _passed_back(response), response.body, response.length)
         self._tell_end(held, attempt, outcome, response)
@@ -537,15 +552,16 @@
         def began(head: Response, source: ClientConnection) -> Sink | None:
             return self._stream_began(attempt, head, source)
 
-        def look() -> None:
+        def wanted() -> bool:
             if held.client is not None:
                 held.client.look()
+            return held.client is not None  # guards against a further attempt that was decided on before
 
         # A body that passes through goes to one server at a time, and to none once a part of it has gone.
         can_be_sent = body.is_repeatable and (held.out == 0 or not body.passes_through)
         until = action.until if can_be_sent else 0
         written = self.telemetry.attempt_written
-        call = Call(action.server, until, held.incoming.message, done, written, began, look)
+        call = Call(action.server, until, held.incoming.message, done, written, began, wanted)
         held.calls.append(call)
         held.out += 1
         self._upstream.start(call)
--- a/tulipnotch/sidecar/telemetry.py
+++ b/tulipnotch/sidecar/telemetry.py
@@ -21,6 +21,7 @@
     def __init__(self, classes: Iterable[str]) -> None:
         self._ended: dict[str, dict[Result, int]] = {}
         self.upstream_requests = 0  # attempts written whole to servers
+        self.upstream_requests_withheld = 0  # attempts not written whole, since their clients had gone
         self.config_reloads = 0
         self.config_reload_errors = 0
         self.show(classes)
@@ -40,6 +41,9 @@
     def attempt_written(self) -> None:
         self.upstream_requests += 1
 
+    def attempt_withheld(self) -> None:
+        self.upstream_requests_withheld += 1
+
     def lines(self, gauges: Mapping[str, int]) -> list[str]:
         """All figures, one a line, after the gauges that their owners have read just now."""
         figures = {
@@ -48,6 +52,7 @@
             for result, count in counts.items()
         }
         figures["upstream_requests"] = self.upstream_requests
+        figures["upstream_requests_withheld"] = self.upstream_requests_withheld
         figures["config_reloads"] = self.config_reloads
         figures["config_reload_errors"] = self.config_reload_errors
         return [f"app.{name}={value}" for name, value in (figures | dict(gauges)).items()]
--- a/tulipnotch/sidecar/upstream.py
+++ b/tulipnotch/sidecar/upstream.py
@@ -36,11 +36,11 @@
         "connection",
         "done",
         "ended",
-        "look",
         "message",
         "server",
         "timer",
         "until",
+        "wanted",
         "written",
     )
 
@@ -52,7 +52,7 @@
         done: Done,
         written: Callable[[], None] | None = None,
         began: Began | None = None,
-        look: Callable[[], None] | None = None,
+        wanted: Callable[[], bool] | None = None,
     ) -> None:
         self.server = server
         self.until = until
@@ -60,7 +60,7 @@
         self.done = done
         self.written = written  # called once the server may have begun it
         self.began = began  # called once an answer has begun that is too large to be kept
-        self.look = look  # called before anything is written for it; it may be cancelled within
+        self.wanted = wanted  # asked before a dial or a byte; it may be cancelled within
         self.ended = False
         self.connection: ClientConnection | None = None  # once it is written
         self.timer: asyncio.TimerHandle | None = None
@@ -251,11 +251,14 @@
             call.timer.cancel()
         call.done(outcome, response)
 
-    @staticmethod
-    def _is_wanted(call: Call) -> bool:
-        """Whether somebody still waits for it, as of now."""
-        if call.look is not None and not call.ended:
-            call.look()
+    def _is_wanted(self, call: Call) -> bool:
+        """Whether somebody still waits for it, as of now; a call that nobody waits for is called off.
+
+        The gate of every attempt, first or further: passed in the instant in which a dial is begun, a first
+        byte is written or a further piece of a body is, its last one among them.
+        """
+        if not call.ended and call.wanted is not None and not call.wanted():
+            self.cancel(call)
         return not call.ended
 
     def _write(self, call: Call, connection: ClientConnection) -> None:
@@ -269,7 +272,13 @@
 
         call.connection = connection
         message = call.message(max(call.until - self._clock.now(), 1_000))
-        connection.exchange(message, ended, call.written, began if call.began is not None else None)
+        connection.exchange(
+            message,
+            ended,
+            call.written,
+            began if call.began is not None else None,
+            lambda: self._is_wanted(call),
+        )
 
     # Connections
 
