Hold back the end of a body until its server has taken what goes before

Need: with a request pipelined behind the open one nothing is read of a client, so that only a look sees it leave. Of a body that passes through the last piece was handed to the transport whole: what the network did not take at once left later without a look, and its last byte is what a server begins with (ClientConnection._write_on).

Change: the last byte that has come stays in the body until all before it is taken; it then passes the same gate as any piece.

Red before for all three: the server had the whole body; the control, in which the client stays, held.

--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -25,7 +25,9 @@
     TimerFired,
 )
 from tulipnotch.sidecar import upstream
+from tulipnotch.sidecar.client import ClientConnection
 from tulipnotch.sidecar.frontend import ClientLimits, ClientSide, State
+from tulipnotch.sidecar.http1 import KEPT
 
 _NEVER_SWEPT = ClientLimits(sweep_s=600.0)
 
@@ -360,6 +362,55 @@
     play(work)
 
 
+@pytest.mark.parametrize("how", [*_LEAVING, "stays"])
+def test_the_end_of_a_body_waits_behind_what_its_server_has_not_taken(
+    how: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # The network takes little of it at a time: the rest waits in this process, the last byte among it.
+    made = ClientConnection.connection_made
+
+    def narrow(self: ClientConnection, transport: asyncio.BaseTransport) -> None:
+        transport.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4_096)
+        made(self, transport)
+
+    monkeypatch.setattr(ClientConnection, "connection_made", narrow)
+
+    async def work() -> None:
+        loop = asyncio.get_running_loop()
+        server = socket.socket()
+        server.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4_096)
+        server.bind((HOST, 0))
+        server.listen()
+        server.setblocking(False)
+        address = f"{HOST}:{server.getsockname()[1]}"
+        async with stage(client_limits=_NEVER_SWEPT, bounds={"mayCancel": False}) as scene:
+            await until(lambda: len(scene.discovery.heard) >= 2)
+            scene.discovery.tell(line("s", address))
+            await until(lambda: len(scene.discovery.heard) >= 3)
+            with _application(scene) as application:
+                body = b"x" * (KEPT + 20_000)
+                application.sendall(request("lodge", timeout="15", body=body) + _AHEAD)
+                accepted, _ = await loop.sock_accept(server)
+                await _paused(scene, _AHEAD)
+                (held,) = scene.sidecar._open.values()
+                assert held.incoming.body.is_whole and held.incoming.body.waiting > 1
+                got = b""
+                while held.incoming.body.waiting > 1:
+                    got += await loop.sock_recv(accepted, 1_000)
+                _go(application, how, None if how == "stays" else _only(scene))
+                while not got.endswith(b"\r\n\r\n" + body):
+                    piece = await loop.sock_recv(accepted, 1_000)
+                    if not piece:
+                        break
+                    got += piece
+                assert got.endswith(body) == (how == "stays")
+                assert _withheld(scene) == (how != "stays")
+                accepted.close()
+        server.close()
+
+    play(work)
+
+
 def test_a_dial_that_comes_up_in_the_instant_of_the_leaving() -> None:
     # Three at once, each with a request behind the open one: connections come up late by a second.
     async def work() -> None:
--- a/tulipnotch/sidecar/client.py
+++ b/tulipnotch/sidecar/client.py
@@ -209,10 +209,12 @@
             return
         request = self._request
         if request is not None:
-            self._write(request.framed(request.body.take()))
-            if request.body.is_whole and self._request is request:
+            # Guards against an end that this process still holds when its client leaves: a server begins
+            # with the last byte, so that one follows only once the network has taken all before it.
+            self._write(request.framed(request.body.take(but=1)))
+            if request.body.is_whole and not self._has_backlog and self._request is request:
                 self._let_go_of_body()
-                self._write(request.end)
+                self._write(request.framed(request.body.take()) + request.end)
         if self._request is None and not self._has_backlog:
             self._all_written()
 
--- a/tulipnotch/sidecar/http1.py
+++ b/tulipnotch/sidecar/http1.py
@@ -65,12 +65,12 @@
             if heard is not None:
                 heard()
 
-    def take(self) -> bytes:
-        """What has come beyond the part that is kept, and was not taken yet."""
-        if not self._waiting:
+    def take(self, but: int = 0) -> bytes:
+        """What has come beyond the part that is kept, and was not taken yet; so many bytes of it stay."""
+        if len(self._waiting) <= but:
             return b""
-        taken = bytes(self._waiting)
-        self._waiting.clear()
+        taken = bytes(self._waiting[: len(self._waiting) - but])
+        del self._waiting[: len(taken)]
         self.is_repeatable = False
         if self.on_taken is not None:
             self.on_taken()
