End a client's connection by a shutdown and a bounded rest, not by a close over unread bytes

Seen: with a client that takes its answer slowly and has more bytes unread in the sidecar's socket, a last answer (asked to close, evacuation, SIGTERM, passed through) and the answer before an idle close reached the client with 4,096 of 50,000 bytes and then a reset; room was made by cutting a silent connection with a request unread while another one rested. To blame: `_answered(closing=True)` and `close` went straight to the transport's close, which stops reading and closes the socket a round later; only what was turned away lingered (`_hang_up`). Ruled out: the transport's own buffer, which is written out before it closes.

`close` is now the one way out and `_hang_up` is gone: our side ends (at once where nothing is unsent, so that no request comes between the look and the end), what comes is read and dropped until the client's end or `linger_s`, counted from when all has left; a client that reads on is not cut off meanwhile (`reading_s`), nor to make room. Room goes first to who has nothing unread.

--- /dev/null
+++ b/tests/test_instants.py
@@ -0,0 +1,173 @@
+"""Bytes that arrive in the very instant of a shutdown or close: what is owed is finished first."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+import pytest
+from loopback import HOST, OK, Heard, Stage, holding, play, reply, request, soon, stage, until
+
+from tulipnotch.sidecar.frontend import ClientLimits, State
+
+# Far less than the client's side takes at once: most of it is still with the sidecar's system when it closes.
+_LARGE = bytes(range(250)) * 200
+_ANSWER = reply(_LARGE)
+_LIMITS = ClientLimits(linger_s=0.05, sweep_s=0.01)
+
+
+class _Narrow:
+    """A client that takes a few KiB at a time, and reads nothing until it is told to."""
+
+    def __init__(self, plain: socket.socket) -> None:
+        self._plain = plain
+
+    def send(self, raw: bytes) -> None:
+        """Send at once; on loopback it lies in the sidecar's socket when this is done."""
+        assert self._plain.send(raw) == len(raw)
+
+    async def rest(self) -> tuple[bytes, bool]:
+        """All that comes up to the connection's end, and whether that was a reset."""
+        got = bytearray()
+        loop = asyncio.get_running_loop()
+        while True:
+            try:
+                piece = await soon(loop.sock_recv(self._plain, 1 << 16))
+            except ConnectionError:
+                return bytes(got), True
+            if not piece:
+                return bytes(got), False
+            got += piece
+
+
+@asynccontextmanager
+async def _narrow(scene: Stage) -> AsyncIterator[_Narrow]:
+    with socket.socket() as plain:
+        plain.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4_096)
+        plain.setblocking(False)
+        await asyncio.get_running_loop().sock_connect(plain, (HOST, scene.sidecar.frontend.port))
+        yield _Narrow(plain)
+
+
+def _states(scene: Stage) -> list[State]:
+    return [each.state for each in scene.sidecar.frontend.connections()]
+
+
+@pytest.mark.parametrize("how", ["asked to close", "emptying", "stopping", "passed through"])
+def test_a_last_answer_is_whole_with_more_unread_behind_its_request(how: str) -> None:
+    # Guards against the reset that a close over unread bytes sends: the rest of the answer goes with it.
+    async def work() -> None:
+        release = asyncio.Event()
+        body = 2 * _LARGE if how == "passed through" else _LARGE  # that is more than is kept
+
+        async def script(heard: Heard) -> bytes:
+            await release.wait()
+            return reply(body)
+
+        async with stage(script, client_limits=_LIMITS) as scene, _narrow(scene) as client:
+            last = "" if how in ("emptying", "stopping") else "close"
+            client.send(request("lodge", timeout="15", Connection=last) + request("lodge"))
+            await until(lambda: len(scene.heard) == 1)
+            await until(lambda: all(each.is_reading_paused for each in scene.sidecar.frontend.connections()))
+            client.send(request("lodge"))  # it stays in the socket
+            if how == "emptying":
+                scene.sidecar.lifecycle.evacuate()
+            elif how == "stopping":
+                scene.sidecar.lifecycle.stop()
+            release.set()
+            await until(lambda: scene.sidecar.frontend.open_connections == 0)
+            got, was_reset = await client.rest()
+            assert got.endswith(b"\r\n\r\n" + body) and not was_reset
+            assert len(scene.heard) == 1
+
+    play(work)
+
+
+@pytest.mark.parametrize("why", ["idle for long", "drain", "evacuation"])
+def test_a_request_in_the_instant_of_a_close_takes_no_answer_with_it_and_is_not_sent_on(why: str) -> None:
+    # It crosses the close, so its client sends it again; nothing may come of this copy.
+    async def work() -> None:
+        limits = ClientLimits(linger_s=0.05, sweep_s=600.0, idle_timeout_s=0.0, leaving_s=0.0)
+        async with stage(_ANSWER, client_limits=limits) as scene, _narrow(scene) as client:
+            frontend = scene.sidecar.frontend
+            client.send(request("lodge"))
+            await until(lambda: _states(scene) == [State.RESTING])
+            await until(lambda: all(each.is_idle for each in frontend.connections()))
+            if why == "drain":
+                frontend.close_idle()
+            else:
+                if why == "evacuation":
+                    scene.sidecar.lifecycle.evacuate()
+                frontend._close_overdue()
+            again = request("lodge")
+            client.send(again)  # the event loop has not run since
+            await asyncio.sleep(2 * limits.linger_s)
+            frontend._close_overdue()
+            await until(lambda: frontend.open_connections == 0)
+            got, was_reset = await client.rest()
+            assert got.endswith(b"\r\n\r\n" + _LARGE) and not was_reset
+            assert len(scene.heard) == 1
+            other = await scene.client()
+            other.send(again)
+            assert (await other.answer()).status == 200
+            assert len(scene.heard) == 2
+
+    play(work)
+
+
+def test_room_is_made_at_the_cost_of_who_rests_and_not_of_a_request_unread() -> None:
+    async def work() -> None:
+        limits = ClientLimits(greeting_s=0.0, sweep_s=600.0)
+        async with stage(OK, client_limits=limits) as scene:
+            frontend = scene.sidecar.frontend
+            silent = await scene.client()
+            await until(lambda: _states(scene) == [State.SILENT])
+            resting = await scene.client()
+            assert (await resting.ask("lodge")).status == 200
+            await until(lambda: sorted(each.value for each in _states(scene)) == ["resting", "silent"])
+            silent.send(request("lodge"))  # it lies in the sidecar's socket, and the event loop has not run
+            assert frontend._make_room()
+            assert (await silent.answer()).status == 200
+            assert await soon(resting.reader.read()) == b""
+
+    play(work)
+
+
+def test_an_answer_that_its_client_takes_slowly_is_not_cut_off_while_it_is_the_last() -> None:
+    # The time to linger begins when all is written; until then it counts that the client goes on reading.
+    async def work() -> None:
+        size = 8 << 20
+
+        async def script(heard: Heard) -> bytes:
+            return reply(bytes(size))
+
+        async with stage(script, client_limits=_LIMITS) as scene, _narrow(scene) as client:
+            client.send(request("lodge", timeout="15", Connection="close"))
+            await until(lambda: len(scene.heard) == 1)
+            await asyncio.sleep(10 * _LIMITS.linger_s)
+            frontend = scene.sidecar.frontend
+            assert frontend.open_connections == 1
+            frontend.most = 1
+            assert not frontend._make_room()  # it is owed the rest
+            got, was_reset = await client.rest()
+            assert got.endswith(b"\r\n\r\n" + bytes(size)) and not was_reset
+
+    play(work)
+
+
+def test_a_client_that_never_ends_its_side_is_let_go_in_bounded_time() -> None:
+    async def work() -> None:
+        release, hold = holding()
+        release.set()
+        async with stage(hold, client_limits=_LIMITS) as scene:
+            for _ in range(5):
+                client = await scene.client()
+                assert (await client.ask("lodge", Connection="close")).status == 200
+                assert await soon(client.reader.read()) == b""
+                client.send(request("lodge"))  # and it stays
+            await until(lambda: scene.sidecar.frontend.open_connections == 0)
+            assert len(scene.heard) == 5
+
+    play(work)
--- a/tulipnotch/sidecar/frontend.py
+++ b/tulipnotch/sidecar/frontend.py
@@ -49,7 +49,7 @@
     idle_timeout_s: float = 5.0  # at rest after an answer
     leaving_s: float = 0.5  # at rest, or silent, while the sidecar is being emptied
     greeting_s: float = 0.25  # how long one that connected is spared before its silence counts against it
-    linger_s: float = 0.5  # how long a client that was turned away may go on sending before it is cut off
+    linger_s: float = 0.5  # how long a client may go on sending once our side has ended, before it is cut off
     sweep_s: float = 0.1  # how often the times are looked at
     most_bytes: int = 4 << 20  # of requests, read in part or whole, over all connections
 
@@ -58,7 +58,7 @@
 class State(Enum):
     """What a client's connection is about."""
 
-    ENDING = "ending"  # it has its last answer
+    ENDING = "ending"  # it has its last answer, or what is left of that is on its way
     SILENT = "silent"  # not a byte came yet
     RESTING = "resting"  # its requests are answered
     READING = "reading"  # a part of a request came
@@ -101,10 +101,15 @@
         return (
             self.state in (State.RESTING, State.SILENT)
             and self._transport is not None
-            and not self._transport.get_write_buffer_size()
+            and not self.is_unsent
             and not self._poll.poll(0)
         )
 
+    @property
+    def is_unsent(self) -> bool:
+        """Whether a part of what was written to it has not left yet."""
+        return self._transport is not None and self._transport.get_write_buffer_size() > 0
+
     @property
     def has_head(self) -> bool:
         """Whether the head of the request at hand is whole."""
@@ -126,11 +131,7 @@
 
     def is_unread(self, now: float, limits: ClientLimits) -> bool:
         """Whether the client has stopped reading its answer."""
-        return (
-            self._transport is not None
-            and self._transport.get_write_buffer_size() > 0
-            and now - self._progress_at >= limits.reading_s
-        )
+        return self.is_unsent and now - self._progress_at >= limits.reading_s
 
     @property
     def _has_left(self) -> bool:
@@ -156,17 +157,12 @@
         request = self._request
         if request is not None and not request.body.is_whole:
             self._frontend.moved(self, State.ENDING)  # what still comes of it is nobody's
-        turned_away = self.state is State.ENDING
         closing = self._closes_after(request)
         if closing:
             headers = [*headers, (b"connection", b"close")]
         with_body = request is None or request.method != b"HEAD"
         self._transport.write(Response(status, headers, body, length).encode(with_body=with_body))
-        if turned_away:
-            self._request = None
-            self._hang_up()
-        else:
-            self._answered(closing=closing)
+        self._answered(closing=closing)
 
     def begin(self, status: int, headers: Headers, length: int | None, source: Source) -> None:
         """Write the head of an answer that passes through; `pass_on` brings its body, `finish` its end."""
@@ -208,11 +204,10 @@
         )
 
     def _answered(self, *, closing: bool) -> None:
-        """The request at hand has its answer: go on to the next, or close."""
-        assert self._transport is not None
+        """The request at hand has its answer: go on to the next, or hang up."""
         self._request = None
         if closing:
-            self._transport.close()
+            self.close()
             return
         self._frontend.moved(self, State.RESTING)
         if self._reader.has_part or self._reader.requests or self._reader.fault is not None:
@@ -223,8 +218,36 @@
             self._resume_reading()
 
     def close(self) -> None:
-        if self._transport is not None:
-            self._transport.close()
+        """End our side, after what is still to be written, and let the client end its own, for a while.
+
+        Guards against cutting the connection under an answer: with bytes unread, a close resets it, and what
+        the client has not taken is lost.  What still comes is read and dropped: a request among it crosses
+        our end, and its client sends it again.
+        """
+        transport = self._transport
+        if transport is None or transport.is_closing():
+            return
+        self._frontend.moved(self, State.ENDING)
+        self._reader.release()
+        if not self.is_unsent:
+            self._end_sending()
+        transport.write_eof()
+        self._resume_reading()
+
+    def _end_sending(self) -> None:
+        """Tell the client at once that nothing more comes.
+
+        Guards against a request that comes between a look at the socket and the event loop's own shutdown,
+        a round later: without word of it, it would have been read and dropped.
+        """
+        assert self._transport is not None
+        plain = socket.socket(fileno=self._transport.get_extra_info("socket").fileno())
+        try:
+            plain.shutdown(socket.SHUT_WR)
+        except OSError:
+            pass  # the client was quicker
+        finally:
+            plain.detach()  # the descriptor is the event loop's
 
     def cut(self) -> None:
         """Close it whatever is unsent."""
@@ -278,7 +301,7 @@
         self._progress_at = asyncio.get_running_loop().time()
         if self._source is not None:
             self._source.pause()
-        elif self._owed is None:
+        elif self._owed is None and self.state is not State.ENDING:
             self._pause_reading()
 
     def resume_writing(self) -> None:
@@ -374,18 +397,6 @@
         except BadRequest as fault:
             self.reject(fault.status, str(fault))
 
-    def _hang_up(self) -> None:
-        """End our side and let the client finish sending, for a while.
-
-        Guards against cutting the connection under an answer: with bytes unread, a close resets it, and the
-        client may never see why.
-        """
-        assert self._transport is not None
-        self._reader.release()
-        if self._transport.can_write_eof():
-            self._transport.write_eof()
-        self._resume_reading()  # what still comes is dropped
-
 
 class Frontend:
     """All connections of the application, never more than `most`."""
@@ -513,11 +524,16 @@
         silent_since = asyncio.get_running_loop().time() - self._limits.greeting_s
         spare = next(
             chain(
-                self._by_state[State.ENDING],
-                # Guards against closing a client that has just connected, its request on the way, while
-                # others rest: it would be left without an answer.
-                (each for each in islice(self._by_state[State.SILENT], 1) if each.since <= silent_since),
+                (each for each in self._by_state[State.ENDING] if not each.is_unsent),
+                # Guards against closing a client that has just connected, its request on the way or unread,
+                # while others rest: it would be left without an answer.
+                (
+                    each
+                    for each in islice(self._by_state[State.SILENT], 1)
+                    if each.since <= silent_since and each.is_idle
+                ),
                 (each for each in self._by_state[State.RESTING] if each.is_idle),
+                (each for each in self._by_state[State.SILENT] if each.is_idle),
                 self._by_state[State.SILENT],
                 self._by_state[State.READING],
             ),
@@ -568,7 +584,10 @@
             elif each.is_unread(now, limits):
                 each.cut()
         for each in list(self._by_state[State.ENDING]):
-            if now - each.since < limits.linger_s:
-                break
-            each.cut()
+            if each.is_unsent:  # its time begins when all has left
+                each.since = now
+                if each.is_unread(now, limits):
+                    each.cut()
+            elif now - each.since >= limits.linger_s:
+                each.cut()
         self._sweep_later()
