Begin no repeat of a keyed request once its window is over, also on a late connection

Seen: with a window of 0.4 s and a deadline of 4 s, a repeat drawn within the window was written 1 s after the first attempt, when its dial had come up or the connection that it waited for had rested: `_may_run_again` was asked when the repeat was drawn, and never again before its first byte. Ruled out: the dial's own time limit and the deadline, which end later.

A send now carries the time from which it may not begin (`Send.begin_by`, from the decisions); the call's one timer ends it there while its last byte has not left (outcome "unsent": it says nothing of the server), and it is looked at once more when a dial comes up or a rest is over. The connection itself is kept. The client has its answer when the window ends instead of at its deadline.

--- a/tests/test_instants.py
+++ b/tests/test_instants.py
@@ -8,8 +8,25 @@
 from contextlib import asynccontextmanager
 
 import pytest
-from loopback import HOST, OK, Heard, Stage, holding, play, reply, request, soon, stage, until
-
+from loopback import (
+    CLASSES,
+    ERROR,
+    HOST,
+    OK,
+    Heard,
+    Stage,
+    holding,
+    line,
+    play,
+    reply,
+    request,
+    soon,
+    stage,
+    until,
+)
+from slow_to_accept import SlowToAccept
+
+from tulipnotch.sidecar import upstream
 from tulipnotch.sidecar.frontend import ClientLimits, State
 
 # Far less than the client's side takes at once: most of it is still with the sidecar's system when it closes.
@@ -171,3 +188,60 @@
             assert len(scene.heard) == 5
 
     play(work)
+
+
+@pytest.mark.parametrize("waits_for", ["a dial", "a connection's rest"])
+def test_no_repeat_is_written_once_its_window_is_over(
+    waits_for: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # The repeat is drawn within the window, which is shorter than the deadline, and its connection is late.
+    monkeypatch.setattr(upstream, "_REST_US", 0)
+    window_s, late_s = 0.4, 1.0
+    classes = [{**each, "giveUpUs": 4_000_000, "memorySpanUs": int(window_s * 1e6)} for each in CLASSES]
+
+    async def work() -> None:
+        slow = SlowToAccept()
+        await slow.fill()
+        release = asyncio.Event()
+
+        async def fails(heard: Heard) -> bytes:
+            if heard.method == "GET":
+                return OK
+            await release.wait()
+            return ERROR
+
+        bounds = {"dialTimeoutUs": 15_000_000, "mayCancel": False}
+        loop = asyncio.get_running_loop()
+        async with stage(fails, fails, bounds=bounds, lanes=classes) as scene:
+            await until(lambda: len(scene.discovery.heard) >= 2)
+            while not all(each.heard for each in scene.servers):
+                assert (await scene.ask("check")).status == 200
+            before = len(scene.heard)
+            client = await scene.client()
+            client.send(request("amend", timeout="4.0"))
+            began = loop.time()
+            await until(lambda: len(scene.heard) == before + 1)
+            if waits_for == "a dial":
+                leaving = [line(f"s-{n}", each.address, state="left") for n, each in enumerate(scene.servers)]
+                scene.discovery.tell(*leaving, line("s-slow", slow.address))
+                await until(lambda: len(scene.discovery.heard) >= 3)
+            monkeypatch.setattr(upstream, "_REST_US", int(late_s * 1e6))
+            release.set()
+            pool = scene.sidecar._upstream
+            await until(lambda: pool._dialling == 1 if waits_for == "a dial" else len(pool._resting) == 1)
+            assert loop.time() - began < window_s  # else this machine was too slow to show anything
+            await asyncio.sleep(late_s)
+            if waits_for == "a dial":
+                accepted = await slow.let_go()
+                await until(lambda: pool._dialling == 0)
+                accepted.settimeout(0.2)
+                with pytest.raises(TimeoutError):
+                    accepted.recv(1_000)  # the connection itself is kept
+                accepted.close()
+            assert not pool._resting
+            assert (await client.answer()).status == 502
+            assert len(scene.heard) == before + 1
+            assert scene.sidecar.open_requests == 0
+        slow.close()
+
+    play(work)
--- a/tulipnotch/decisions/balancer.py
+++ b/tulipnotch/decisions/balancer.py
@@ -855,7 +855,8 @@
             return False
         if not limits.second_copies and request.is_out():
             return False  # rule 2
-        if not self._may_run_again(request) or not self._in_group(request, server):
+        begin_by = self._begin_by(request)
+        if self._now >= begin_by or not self._in_group(request, server):
             return False  # rule 2
         if server.state is not ServerState.READY:
             return False  # rule 3: at once on hearing, without use of the grace
@@ -870,7 +871,7 @@
             server.trial = attempt
         if not request.coming:
             self._begin_attempt(request, attempt)
-        self._actions.append(Send(request.ident, server.name, request.answer_by))
+        self._actions.append(Send(request.ident, server.name, request.answer_by, begin_by))
         return True
 
     def _begin_attempt(self, request: Request, attempt: Attempt) -> None:
@@ -885,15 +886,15 @@
             self._stuck += 1
         self._schedule(self._now + self._patience(request, attempt), request.ident, attempt.index)
 
-    def _may_run_again(self, request: Request) -> bool:
-        """Whether the request's class lets another attempt out now."""
+    def _begin_by(self, request: Request) -> int:
+        """Until when the request's class lets another attempt begin."""
         first_maybe = next((each for each in request.attempts if each.may_have_run), None)
         if first_maybe is None or request.kind.repeat is Repeat.SAFE:
-            return True
+            return NEVER
         if request.kind.repeat is Repeat.UNSAFE:
-            return False
+            return self._now
         # Keyed: servers forget; one tick less, since the clock is read once a tick.
-        return self._now + self._settings.tick_us < first_maybe.sent_at + request.kind.memory_us
+        return first_maybe.sent_at + request.kind.memory_us - self._settings.tick_us
 
     @staticmethod
     def _in_group(request: Request, server: Server) -> bool:
@@ -1007,7 +1008,7 @@
             request.tried.append(attempt.server)
             full = event.outcome is Outcome.FULL
             request.said_full += full
-            if event.again and self._may_run_again(request) and (full or self._extra >= 1.0):
+            if event.again and self._now < self._begin_by(request) and (full or self._extra >= 1.0):
                 self._extra -= 0.0 if full else 1.0  # a redraw on full is the design's own, not a retry
                 self._place(request)
             elif not request.is_out():
@@ -1070,7 +1071,7 @@
                 self._eject(server, "silent", SILENT_MOST)
         silent = silent and (server.ejected_until is not None or attempt.blames_idle)
         limits = self._settings.limits
-        if not self._may_run_again(request) or len(request.attempts) >= limits.max_attempts:
+        if self._now >= self._begin_by(request) or len(request.attempts) >= limits.max_attempts:
             return  # waiting is all that is left
         if limits.second_copies:
             if silent and self._extra >= 1.0:
--- a/tulipnotch/decisions/interface.py
+++ b/tulipnotch/decisions/interface.py
@@ -591,6 +591,7 @@
     request: int
     server: str
     until: int  # clock time at which the attempt is abandoned; NEVER: the request's time has not begun
+    begin_by: int = NEVER  # clock time from which on it may not begin any more, if it has not until then
 
 
 @dataclass(slots=True)
--- a/tulipnotch/sidecar/sidecar.py
+++ b/tulipnotch/sidecar/sidecar.py
@@ -545,7 +545,7 @@
         can_be_sent = body.is_repeatable and (held.out == 0 or not body.passes_through)
         until = action.until if can_be_sent else 0
         written = self.telemetry.attempt_written
-        call = Call(action.server, until, held.incoming.message, done, written, began, look)
+        call = Call(action.server, until, held.incoming.message, done, written, began, look, action.begin_by)
         held.calls.append(call)
         held.out += 1
         self._upstream.start(call)
--- a/tulipnotch/sidecar/upstream.py
+++ b/tulipnotch/sidecar/upstream.py
@@ -33,6 +33,7 @@
 
     __slots__ = (
         "began",
+        "begin_by",
         "connection",
         "done",
         "ended",
@@ -53,9 +54,11 @@
         written: Callable[[], None] | None = None,
         began: Began | None = None,
         look: Callable[[], None] | None = None,
+        begin_by: int = NEVER,
     ) -> None:
         self.server = server
         self.until = until
+        self.begin_by = begin_by  # from then on it ends unless its last byte has left
         self.message = message  # given the time left, in microseconds
         self.done = done
         self.written = written  # called once the server may have begun it
@@ -143,14 +146,13 @@
     def start(self, call: Call) -> None:
         loop = asyncio.get_running_loop()
         server = self._servers.get(call.server)
-        left_us = call.until - self._clock.now()
+        left_us = min(call.until, call.begin_by) - self._clock.now()
         if server is None or server.is_leaving or left_us <= 0:
             loop.call_soon(self._end, call, Outcome.UNSENT)
             return
         if not self._is_wanted(call):
             return
-        if call.until < NEVER:
-            call.timer = loop.call_later(left_us / 1e6, self._expire, call)
+        self._arm(call)
         self._connect(call, server)
 
     def _connect(self, call: Call, server: _Server) -> None:
@@ -185,6 +187,9 @@
             # Guards rule 3: word of its drain came meanwhile.
             connection.close()
             self._end(call, Outcome.UNSENT)
+        elif self._clock.now() >= call.begin_by:
+            self._freed(connection)  # guards rule 2: its class may not begin again; the connection is good
+            self._end(call, Outcome.UNSENT)
         elif not self._is_wanted(call):
             self._freed(connection)  # guards against writing what was called off; the connection is good
         elif connection.is_usable():
@@ -196,10 +201,9 @@
 
     def limit(self, call: Call, until: int) -> None:
         """Abandon the call at this time: it had no limit before."""
-        if not call.ended and call.timer is None:
+        if not call.ended and call.until >= NEVER:
             call.until = until
-            left_s = max(until - self._clock.now(), 0) / 1e6
-            call.timer = asyncio.get_running_loop().call_later(left_s, self._expire, call)
+            self._arm(call)
 
     def cancel(self, call: Call) -> None:
         """Stop waiting; the outcome follows."""
@@ -237,8 +241,23 @@
         for connection in list(self._owners):
             connection.close()
 
+    def _arm(self, call: Call) -> None:
+        """Set the call's timer for the time at which it ends as it stands, if there is one."""
+        if call.timer is not None:
+            call.timer.cancel()
+        due = min(call.until, call.begin_by) if call.is_unwritten else call.until
+        if due < NEVER:
+            left_s = max(due - self._clock.now(), 0) / 1e6
+            call.timer = asyncio.get_running_loop().call_later(left_s, self._expire, call)
+
     def _expire(self, call: Call) -> None:
-        outcome = Outcome.DIAL_FAILED if call.is_unwritten else Outcome.EXPIRED
+        if not call.is_unwritten and self._clock.now() < call.until:
+            self._arm(call)  # it has begun in time
+            return
+        outcome = Outcome.EXPIRED
+        if call.is_unwritten:
+            # That a class may begin no more says nothing of the server.
+            outcome = Outcome.UNSENT if call.begin_by < call.until else Outcome.DIAL_FAILED
         if call.connection is not None:
             call.connection.close()
         self._end(call, outcome)
