Measure in virtual time whether cold servers fall under the sum of all processes

The standing test lets beyond N only 2 x root N + 2 requests of mean work count as chance on a cold server, over all processes together; the laboratory knew one slack and no table of processes x N.

The laboratory's server asks the tool whether it falls; load.hints tells sidecars the work of a request.

--- a/tulipnotch/lab/ledger.py
+++ b/tulipnotch/lab/ledger.py
@@ -150,13 +150,17 @@
 
     def fell(self, server: str, started_at: int, work_by_sidecar: Mapping[int, float]) -> None:
         """A cold server was pushed over by this work, as sent by each sidecar."""
+        if self.was_told(server, started_at, work_by_sidecar):
+            self._breach("cold", f"{server}, started at {started_at} us, was pushed over")
+
+    def was_told(self, server: str, started_at: int, work_by_sidecar: Mapping[int, float]) -> bool:
+        """Whether two thirds of this work came from sidecars that were told of this start."""
         told = sum(
             work
             for sidecar, work in work_by_sidecar.items()
             if self._told_start.get((sidecar, server), -1) >= started_at
         )
-        if told >= 2.0 / 3.0 * sum(work_by_sidecar.values()):
-            self._breach("cold", f"{server}, started at {started_at} us, was pushed over")
+        return told >= 2.0 / 3.0 * sum(work_by_sidecar.values())
 
     # What discovery saw
 
--- a/tulipnotch/lab/scenario.py
+++ b/tulipnotch/lab/scenario.py
@@ -114,6 +114,7 @@
     skew: NotNegative = 0.3  # of the rate from sidecar to sidecar (coefficient of variation)
     keys: Annotated[int, Meta(ge=1, le=10_000_000)] = 1_000
     key_zipf: NotNegative = 0.8
+    hints: bool = False  # whether requests tell their work; cold servers' budgets then count that
 
     def __post_init__(self) -> None:
         if (self.utilisation is None) == (self.rate is None):
--- a/tulipnotch/lab/server.py
+++ b/tulipnotch/lab/server.py
@@ -47,7 +47,7 @@
         self.request = request  # which request: its attempts share this
         self.origin = origin  # the sidecar that sent it
         self.work_us = work_us  # on a standard core
-        self.mean_us = mean_us  # of its class
+        self.mean_us = mean_us  # of its class, or its own where requests tell it
         self.key = key
         self.stage = Stage.WAITING
         self.until = 0  # when it will be finished, once it runs
@@ -97,6 +97,9 @@
         self._sent: deque[tuple[int, float, int]] = deque()  # while cold: when, work, from which sidecar
         self._sent_us = 0.0
         self.fell: Callable[[OrderServer, int, dict[int, float]], None] | None = None
+        # Who judges whether it falls, in place of the slack above: asked at each request while it is cold,
+        # with the work of the last fall time and what it bears in that time (both in us on a standard core).
+        self.falls: Callable[[OrderServer, float, float], bool] | None = None
 
     # What can be seen of it
 
@@ -264,14 +267,21 @@
         while self._sent[0][0] <= now - span:
             self._sent_us -= self._sent.popleft()[1]
         bearable = fleet.fall_multiple * self.cores * self.speed * self.warmth(now) * span
-        if self._sent_us > bearable + self._slack_us:
-            by_origin: dict[int, float] = {}
-            for _, work, origin in self._sent:
-                by_origin[origin] = by_origin.get(origin, 0.0) + work
+        beyond = self._sent_us > bearable + self._slack_us
+        if self.falls is not None:
+            beyond = self.falls(self, self._sent_us, bearable)
+        if beyond:
             started_at = self.started_at
             self.has_fallen = True
             if self.fell is not None:
-                self.fell(self, started_at, by_origin)
+                self.fell(self, started_at, self.sent_by())
+
+    def sent_by(self) -> dict[int, float]:
+        """While it is cold: the work of the last fall time, by the sidecar that sent it."""
+        by_origin: dict[int, float] = {}
+        for _, work, origin in self._sent:
+            by_origin[origin] = by_origin.get(origin, 0.0) + work
+        return by_origin
 
     def _settle(self, now: int) -> None:
         """Draw the conclusions from how it stood until now, before anything changes."""
--- a/tulipnotch/lab/virtual.py
+++ b/tulipnotch/lab/virtual.py
@@ -405,7 +405,8 @@
         self.world.ledger.taken(client.request, self.place, ask.kind, now, client.until - now)
         self._held[client.request] = _Held(client)
         left = max(client.until - now, 1)
-        self._post(RequestArrived(client.request, ask.kind.name, ask.tenant, ask.key, left))
+        hint = int(ask.work_us) if self.world.given.load.hints else None
+        self._post(RequestArrived(client.request, ask.kind.name, ask.tenant, ask.key, left, hint))
 
     def client_gone(self, request: int) -> None:
         held = self._held.get(request)
@@ -554,7 +555,8 @@
         work = world.noisy(ask.work_us)
         if not attempt.had_connection:
             work += world.network.handshake_work_ms * 1e3
-        job = Job(attempt.held.client.request, self.place, work, ask.kind.work_ms * 1e3, ask.key)
+        known_us = ask.work_us if world.given.load.hints else ask.kind.work_ms * 1e3
+        job = Job(attempt.held.client.request, self.place, work, known_us, ask.key)
         attempt.job = job
         verdict, begun = server.offer(now, job, world.chance())
         if verdict is Verdict.FULL:
