Begin calls to discovery 3.45 s apart at most, so that a change is known within 6 s

A change counts as announced 6 s after discovery had it and could be reached, whatever became of the calls before. A watch waited 20 s and was asked beside only 0.5 s after that, so what it missed was learnt up to 20.5 s later; where calls hung, the call (3 s), the rest (2.5 s) and a lost dial (1 s) added up to more than 6 s as well. To blame were constants that were chosen one by one: `_WATCH_MS`, `_WATCH_OVERDUE_S`, `_ANSWER_WITHIN_S`, `_DIAL_WITHIN_S`, and a rest that began only once a call had failed.

`Schedule` now derives all of them from the 6 s: parts for a late process (0.3 s), for discovery's line (2 s, where it turns callers away) and for a second dial beside one that doesn't come up (0.25 s); what is left is the time from the beginning of a call to that of the next, at most, whatever becomes of the first. A watch waits 3.05 s, to the instance's last own turn within that, so that a fleet is not in step after a restart, discovery's return or news. A call that waits for nothing is over (3 s) before the next, so no more than two are out beside each other where lists are asked for. Following goes on by itself after a failure; the decisions may ask sooner, as before.

Tests on real connections, the 6 s at a fifth (1.2 s), each worst order forced.

Tests changed: the wait of a watch is checked against its bound and not against 20 s; "Nothing is given up" is said by a schedule of 160 s in place of patched constants; the reload test waited for (1, 0) servers, which held before the reload too, and now waits for the new server's name.

--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import json
 from collections.abc import Callable
 
@@ -24,12 +25,23 @@
 from tulipnotch.sidecar import discovery
 from tulipnotch.sidecar.client import parse_address
 from tulipnotch.sidecar.discovery import Discovery, Listing, Waits, parse_listing
+from tulipnotch.sidecar.schedule import Schedule
+
+SOON = Schedule(1.2)  # a watch that fell silent is overdue within the test
+NEVER = Schedule(8 * PATIENCE_S)  # nothing is given up within the test
 
 
 class Ears:
     """What discovery told."""
 
-    def __init__(self, server: ScriptedServer, version: int = 41, pushed: bool = False) -> None:
+    def __init__(
+        self,
+        server: ScriptedServer,
+        version: int = 41,
+        pushed: bool = False,
+        instance: int = 0,
+        plan: Schedule | None = None,
+    ) -> None:
         self.events: asyncio.Queue[Listing | None] = asyncio.Queue()
         self.faults: list[str] = []
         self.discovery = Discovery(
@@ -40,6 +52,8 @@
             lambda: self.events.put_nowait(None),
             self.faults.append,
             grace_us=250_000,
+            instance=instance,
+            plan=plan,
         )
 
     async def next(self) -> Listing | None:
@@ -57,7 +71,9 @@
         assert first is not None and first.full and first.version == 1
         await until(lambda: len(server.heard) == 2)
         assert server.heard[0].target == "/catalog/members?after=41&wait_ms=0"
-        assert server.heard[1].target == "/catalog/members?after=1&wait_ms=20000"
+        path, _, wait_ms = server.heard[1].target.rpartition("=")
+        assert path == "/catalog/members?after=1&wait_ms"
+        assert 0 < int(wait_ms) <= 1_000 * Schedule().watch_s
         server.tell(line("s-1", "127.0.0.2:80", state="leaving"))
         news = await ears.next()
         assert news is not None and not news.full and news.version == 2
@@ -235,7 +251,7 @@
 
 async def _is_heard_unasked(server: ScriptedServer) -> None:
     """Where lists are pushed, the good one arrives whatever hangs."""
-    ears = Ears(server, pushed=True)
+    ears = Ears(server, pushed=True, plan=NEVER)
     ears.discovery.start()
     heard = await ears.next()
     assert heard is not None and heard.version == 7
@@ -243,25 +259,13 @@
     server.stop()
 
 
-def _watch_that_waits(monkeypatch: pytest.MonkeyPatch) -> None:
-    """A watch's wait is over soon, and nothing is given up within the test."""
-    monkeypatch.setattr(discovery, "_WATCH_MS", 20)
-    monkeypatch.setattr(discovery, "_WATCH_OVERDUE_S", 0.02)
-    for name in ("_WATCH_WITHIN_S", "_ANSWER_WITHIN_S"):
-        monkeypatch.setattr(discovery, name, 4 * PATIENCE_S)
-
-
-def test_a_watch_that_fell_silent_is_asked_anew_before_it_is_given_up(
-    monkeypatch: pytest.MonkeyPatch,
-) -> None:
-    # Guards against learning of a drain only when it counts as told: 2 s after the wait of the silent watch.
-    _watch_that_waits(monkeypatch)
-
+def test_a_watch_that_fell_silent_is_asked_anew_before_it_is_given_up() -> None:
+    # Guards against learning of a drain only once the silent watch's limit is over.
     async def work() -> None:
         server = ScriptedDiscovery()  # its watches are silent until it tells
         server.servers = [line("s-1", f"{HOST}:80")]
         await server.start()
-        ears = Ears(server)
+        ears = Ears(server, plan=SOON)
         ears.discovery.follow(True)
         assert await ears.next() is not None
         server.version, server.servers = 2, [line("s-1", f"{HOST}:80", state="leaving")]
@@ -274,13 +278,60 @@
     play(work)
 
 
-@pytest.mark.parametrize("hangs_at", [0, 1], ids=["the first call", "the second call too"])
-def test_where_lists_are_pushed_a_call_without_an_answer_is_made_again_beside_it(
-    hangs_at: int, monkeypatch: pytest.MonkeyPatch
+def test_a_watch_that_fell_silent_costs_one_call_beside_it_however_late_the_answer() -> None:
+    # Guards against a fleet that asks a directory with a long line ever harder.
+    plan = Schedule(1.2)
+
+    async def work() -> None:
+        async def answer(heard: Heard) -> bytes | None:
+            began.append(asyncio.get_running_loop().time())
+            return reply(json.dumps(GOOD).encode()) if len(began) == 1 else None
+
+        began: list[float] = []
+        server = await ScriptedServer(answer).start()
+        ears = Ears(server, plan=plan)
+        ears.discovery.follow(True)
+        await until(lambda: len(began) == 4)
+        waits = [later - earlier for earlier, later in itertools.pairwise(began)]
+        # Each of them hangs; the first wait is that between the answer and the watch after it.
+        assert waits[0] < 0.1 * plan.apart_s
+        assert plan.overdue_s < waits[1] < plan.apart_s + plan.late_s
+        assert 0.95 * plan.apart_s < waits[2] < plan.apart_s + plan.late_s
+        ears.discovery.close()
+        server.stop()
+
+    play(work)
+
+
+def test_a_dial_that_does_not_come_up_is_made_again_beside_it(
+    monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    # Guards against a hung connection to the agent: all that it has counts as told meanwhile.
-    _watch_that_waits(monkeypatch)
+    # Guards against a dial whose packets are lost: it is silent up to its limit.
+    async def work() -> None:
+        slow = SlowToAccept()
+        await slow.fill()
+        server = await ScriptedServer(reply(json.dumps(GOOD).encode())).start()
+        where = iter([slow.address])
+        real = asyncio.get_running_loop().create_connection
+
+        async def dial(made: Callable[[], asyncio.Protocol], *_: object) -> object:
+            return await real(made, *parse_address(next(where, server.address)))
+
+        monkeypatch.setattr(asyncio.get_running_loop(), "create_connection", dial, raising=False)
+        ears = Ears(server, plan=Schedule(4.8))  # 0.2 s to the second dial, 0.8 s to the limit of the first
+        ears.discovery.follow(True)
+        heard = await ears.next()
+        assert heard is not None and heard.version == 7 and ears.faults == []
+        ears.discovery.close()
+        server.stop()
+        slow.close()
+
+    play(work)
 
+
+@pytest.mark.parametrize("hangs_at", [0, 1], ids=["the first call", "the second call too"])
+def test_where_lists_are_pushed_a_call_without_an_answer_is_made_again_beside_it(hangs_at: int) -> None:
+    # Guards against a hung connection to the agent: all that it has counts as told meanwhile.
     async def work() -> None:
         async def answer(heard: Heard) -> bytes | None:
             return None if heard.connection <= hangs_at else reply(json.dumps(GOOD).encode())
@@ -291,12 +342,10 @@
     play(work)
 
 
-def test_a_directory_that_answers_late_is_not_asked_without_end(monkeypatch: pytest.MonkeyPatch) -> None:
-    _watch_that_waits(monkeypatch)
-
+def test_a_directory_that_answers_late_is_not_asked_without_end() -> None:
     async def work() -> None:
         server = await ScriptedServer(None).start()
-        ears = Ears(server, pushed=True)
+        ears = Ears(server, pushed=True, plan=NEVER)
         ears.discovery.start()
         await until(lambda: server.connections == 3)
         await asyncio.sleep(0.3)  # several times what a call may take before another is made
@@ -308,17 +357,17 @@
 
 
 def test_waits_follow_the_grace_where_lists_are_pushed() -> None:
-    again, overdue = Waits.of(True, 250_000).again_s, Waits.of(True, 250_000).overdue_s
-    assert overdue is not None and again + overdue < 0.25  # both fit into the grace
-    assert Waits.of(True, 0).again_s > 0.0  # an agent that is down is not asked in a tight loop
-    assert Waits.of(False, 250_000).overdue_s is None
+    pushed = Waits.of(True, 250_000, Schedule())
+    assert pushed.again_s + pushed.overdue_s < 0.25  # both fit into the grace
+    assert Waits.of(True, 0, Schedule()).again_s > 0.0  # an agent that is down is not asked in a tight loop
+    asked = Waits.of(False, 250_000, Schedule())
+    assert asked.overdue_s > Schedule().call_s  # a call is over before the next: never two beside a watch
 
 
 def test_where_lists_are_pushed_a_hung_dial_does_not_keep_the_agent_from_being_heard(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     # An agent that is away may let dials hang; what it has at its return counts as told at once.
-    _watch_that_waits(monkeypatch)
     for name in ("_PUSHED_DIAL", "_PUSHED_MOST_S"):  # the hung one is never given up
         monkeypatch.setattr(discovery, name, 1_000.0)
     monkeypatch.setattr(discovery, "_PUSHED_OVERDUE", 0.02)
--- a/tests/test_told.py
+++ b/tests/test_told.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import socket
+from collections.abc import Callable
 from typing import Any
 
 import pytest
@@ -26,9 +27,14 @@
 )
 from slow_to_accept import SlowToAccept
 
+from tulipnotch.decisions.interface import Discovery as Mode
 from tulipnotch.decisions.interface import ServerState
 from tulipnotch.sidecar import discovery, sidecar
+from tulipnotch.sidecar.client import parse_address
 from tulipnotch.sidecar.config import parse
+from tulipnotch.sidecar.schedule import Schedule
+
+PLAN = Schedule(1.2)  # the users' 6 s at a fifth
 
 
 def _leaving(scene: Stage) -> dict[str, Any]:
@@ -49,11 +55,9 @@
 def test_a_drain_is_heard_of_however_the_watch_before_it_ended(
     how: str, mode: str, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    # The call that waited is lost with its news; it counts as told all the same.
+    # The call that waited is lost with its news; it counts as announced all the same.
     if how == "silent":
-        monkeypatch.setattr(discovery, "_WATCH_MS", 20)
-        monkeypatch.setattr(discovery, "_WATCH_OVERDUE_S", 0.02)
-        monkeypatch.setattr(discovery, "_WATCH_WITHIN_S", 4 * PATIENCE_S)
+        monkeypatch.setattr(discovery, "_PLAN", PLAN)
 
     async def work() -> None:
         async with stage(OK, OK, discovery=mode) as scene:
@@ -85,6 +89,145 @@
     play(work)
 
 
+class Turning(ScriptedDiscovery):
+    """Discovery that has the drain from `turn` on; what becomes of calls before then is chosen."""
+
+    def __init__(self, how: str) -> None:
+        super().__init__()
+        self.how = how  # what becomes of calls until then: "fine", "503" or "hung"
+        self.script = self._until_it_turns
+        self.halves = False  # whether a watch's answer breaks off
+
+    async def _until_it_turns(self, heard: Heard) -> bytes | None:
+        if self.how == "503":
+            return reply(b"", "503 Busy")
+        if self.how == "hung":
+            return None
+        if "wait_ms" in heard.target and not heard.target.endswith("wait_ms=0"):
+            if self.halves:
+                heard.writer.write(reply(self.whole())[:-20])
+            return None
+        return reply(self.whole())
+
+    def whole(self) -> bytes:
+        return json.dumps({"version": self.version, "full": True, "servers": self.servers}).encode()
+
+    def turn(self, drained: dict[str, Any]) -> None:
+        self.how, self.version, self.servers = "fine", 2, [drained, *self.servers[1:]]
+
+
+class Dials:
+    """Of the dials to one address, those that never come up."""
+
+    def __init__(self, monkeypatch: pytest.MonkeyPatch, address: str, lost: str) -> None:
+        self.lose = 0  # how many of the next
+        self.made = 0
+        loop = asyncio.get_running_loop()
+        real = loop.create_connection
+
+        async def dial(made: Callable[[], asyncio.Protocol], host: str, port: int) -> object:
+            if f"{host}:{port}" == address:
+                self.made += 1
+                if self.lose > 0:
+                    self.lose -= 1
+                    host, port = parse_address(lost)
+            return await real(made, host, port)
+
+        monkeypatch.setattr(loop, "create_connection", dial, raising=False)
+
+
+ORDERS = [
+    "silent from its first moment",
+    "silent in the middle",
+    "half an answer, then nothing",
+    "refused",
+    "503",
+    "hung",
+    "hung, and the next dial lost",
+    "503, and the next dial lost",
+    "dials hang",
+    "moved, and the first call hung",
+]
+
+
+@pytest.mark.parametrize("mode", ["pushed", "on_request"])
+@pytest.mark.parametrize("order", ORDERS)
+def test_a_drain_is_known_before_it_counts_as_announced_in_the_worst_order(
+    order: str, mode: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # It counts so long after discovery had it and could be reached.  Every call that began before then is
+    # lost, the last of them just before, and calls have failed so often that the rest is at its longest.
+    monkeypatch.setattr(discovery, "_PLAN", PLAN)
+    monkeypatch.setattr(Schedule, "wait_ms", lambda plan, *_: int(1_000 * plan.watch_s))  # the longest
+    asking = {"askWithinUs": int(10e6 * PLAN.announced_s / Schedule().announced_s)}
+
+    async def work() -> float:
+        slow = SlowToAccept()
+        await slow.fill()
+        loop = asyncio.get_running_loop()
+        async with stage(OK, OK, discovery=mode, guarantees=asking) as scene:
+            drained, first = _leaving(scene), scene.discovery
+            await until(lambda: len(first.heard) >= 2)  # its watch waits
+            agent = Turning("fine" if "silent" in order or "half" in order else order[:4].strip(","))
+            agent.how = "503" if "503" in order else "hung" if "hung" in order else agent.how
+            agent.servers, agent.halves = first.servers, "half" in order
+            port = 0 if "moved" in order else int(first.address.rpartition(":")[2])
+            dials = Dials(monkeypatch, first.address, slow.address)
+            if order != "moved, and the first call hung":
+                first.stop()
+
+            async def failed_often() -> None:
+                await until(lambda: _failures(scene, dials) >= 4)
+
+            async def begun(count: int) -> None:
+                before = len(agent.heard)
+                await until(lambda: len(agent.heard) >= before + count)
+
+            if order == "refused":
+                await failed_often()
+                await agent.start(port)
+            elif order == "dials hang":
+                dials.lose = 1_000
+                await agent.start(port)
+                await failed_often()
+                before = dials.made
+                await until(lambda: dials.made > before)
+                dials.lose = 0
+            elif order == "moved, and the first call hung":
+                await agent.start()
+                raw = {**dict(scene.sidecar.config.file), "discovery": agent.address}
+                scene.sidecar.reload(parse(raw, raw))
+                await until(lambda: len(agent.heard) >= 1)
+            else:
+                await agent.start(port)
+                if agent.how == "fine":
+                    await until(lambda: any("wait_ms=0" not in each.target for each in agent.heard))
+                else:
+                    await failed_often()
+                    await begun(1)
+                dials.lose = 1 if "lost" in order else 0
+            if order == "silent in the middle":
+                await asyncio.sleep(PLAN.watch_s / 2)
+            agent.turn(drained)
+            reached = loop.time()
+            await until(lambda: scene.sidecar._balancer.members() == (2, 1))
+            took = loop.time() - reached
+            await _goes_elsewhere(scene)
+            agent.stop()
+        slow.close()
+        return took
+
+    took = play(work)
+    print(f"{order}, {mode}: {took:.3f} of {PLAN.announced_s}")
+    assert took < PLAN.announced_s - PLAN.answer_s  # the stand-in has no line, so its part is left over
+
+
+def _failures(scene: Stage, dials: Dials) -> int:
+    """Calls that failed in a row where lists are asked for; where they are pushed, dials are as many."""
+    asked = scene.sidecar.config.settings.discovery is Mode.ON_REQUEST
+    return scene.sidecar._balancer._failed_calls if asked else dials.made
+
+
 def test_where_lists_are_pushed_a_start_hears_the_agent_before_it_listens(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
@@ -163,7 +306,7 @@
             before = scene.sidecar.config
             raw = _raw(before.name, other.address)
             scene.sidecar.reload(parse(raw, raw))
-            await until(lambda: scene.sidecar._balancer.members() == (1, 0))
+            await until(lambda: "s-1" in scene.sidecar._balancer._servers)
             assert (await scene.ask("check")).status == 503  # one open request is all that is taken now
             release.set()
             assert (await client.answer()).status == 200  # it keeps its class, its limits and its server
--- a/tulipnotch/sidecar/discovery.py
+++ b/tulipnotch/sidecar/discovery.py
@@ -10,20 +10,15 @@
 
 from tulipnotch.decisions.interface import ListedServer, ListKind, ServersListed, ServerState
 from tulipnotch.sidecar.client import Address, ClientConnection, Failure, parse_address
+from tulipnotch.sidecar.clock import Clock
 from tulipnotch.sidecar.http1 import Request, Response, ResponseReader
+from tulipnotch.sidecar.schedule import Schedule
 
 _STATES = {"active": ServerState.READY, "leaving": ServerState.DRAINING, "left": ServerState.GONE}
 _PATH = "/catalog/members"
 _MOST_BYTES = 4 << 20  # of a whole list
-# What a call that has fallen silent misses counts as told 6 s after that, or 2 s after its wait is over, if
-# that is later.  By then its successor must have been answered, and not only begun.
-_ANSWER_WITHIN_S = 3.0  # for a call that waits for nothing: a second one fits into the 6 s
-_WATCH_WITHIN_S = 2.0  # for a watch, beyond its wait
-_WATCH_OVERDUE_S = 0.5  # beyond its wait, after which a watch is taken for silent and one more call is made
-_MOST_BESIDE = 2  # such calls beside one that is overdue: a directory with a long line is not asked on and on
-_STALLED_S = 1.0  # without a byte of an answer that was begun
-_DIAL_WITHIN_S = 1.0
-_WATCH_MS = 20_000  # how long a watch may wait for news
+_PLAN = Schedule()
+_MOST_BESIDE = 2  # calls soon beside one that is overdue: a directory with a long line is not asked on and on
 # Where lists are pushed, what the agent has counts as told with no watch open too: a watch is taken up, and
 # a call that is not answered is made again, after such parts of the grace that a drain has.
 _PUSHED_AGAIN = 0.2
@@ -119,15 +114,15 @@
 class Waits:
     """How long discovery is waited for, in seconds."""
 
-    again_s: float  # where lists are pushed: between a watch that broke and the next
-    overdue_s: float | None  # until a call that waits for nothing is made again beside itself; None: never
+    again_s: float  # at most, between a call that failed and the next
+    overdue_s: float  # until a call that waits for nothing is made again beside itself
     dial_s: float
 
     @staticmethod
-    def of(pushed: bool, grace_us: int) -> Waits:
-        """Where lists are asked for, the decisions say when to ask again, and one such call is enough."""
+    def of(pushed: bool, grace_us: int, plan: Schedule) -> Waits:
+        """Where lists are asked for, the decisions say when to ask again, and the plan by when at last."""
         if not pushed:
-            return Waits(0.0, None, _DIAL_WITHIN_S)
+            return Waits(plan.apart_s, plan.apart_s, plan.dial_s)
 
         def part(share: float) -> float:
             return min(max(share * grace_us / 1e6, _PUSHED_LEAST_S), _PUSHED_MOST_S)
@@ -136,9 +131,11 @@
 
 
 class Discovery:
-    """Calls to discovery.  Every `follow` and `fetch` is answered by one call of `on_list` or `on_failed`.
+    """Calls to discovery.  Every `follow` and `fetch` is answered by `on_list` or `on_failed`.
 
-    `on_fault` is told why there is no list, once for each cause until there is one again.
+    While the list is followed, calls begin `Schedule.apart_s` from each other at most, whatever became of the
+    one before: `follow` may ask sooner, and need not be called again.  `on_fault` is told why there is no
+    list, once for each cause until there is one again.
     """
 
     def __init__(
@@ -150,6 +147,8 @@
         on_failed: Callable[[], None],
         on_fault: Callable[[str], None],
         grace_us: int = 0,
+        instance: int = 0,  # its number in the fleet: it spreads the calls
+        plan: Schedule | None = None,
     ) -> None:
         self._address = address
         self._version = version
@@ -158,22 +157,26 @@
         self._on_failed = on_failed
         self._on_fault = on_fault
         self._fault: str | None = None  # what was told of last, while there is no list
-        self._waits = Waits.of(pushed, grace_us)
+        self._plan = plan or _PLAN
+        self._waits = Waits.of(pushed, grace_us, self._plan)
+        self._instance = instance
+        self._clock = Clock()
         self.has_tried = asyncio.Event()  # whether a call has been answered, or has failed
         self._is_followed = pushed
         self._changes = 0  # of what is known, so far
         self._watch: asyncio.Task[None] | None = None
-        self._watch_answered = False
+        self._is_awaited = False  # whether the watch has neither been answered yet nor failed
+        self._begun_at = 0.0  # when the last call of a watch began, in the loop's time
         self._fetches: set[asyncio.Task[None]] = set()
         self._tasks: set[asyncio.Task[None]] = set()
 
     def obey(self, grace_us: int) -> None:
-        self._waits = Waits.of(self._pushed, grace_us)
+        self._waits = Waits.of(self._pushed, grace_us, self._plan)
 
     def start(self) -> None:
         """Where lists are pushed, the agent's are heard from the start on, unasked."""
         if self._pushed:
-            self._watch = self._spawn(self._hear_pushed())
+            self._begin_watch()
 
     def follow(self, wanted: bool) -> None:
         """Watch the list from now on, or no longer.
@@ -185,13 +188,12 @@
             return
         self._is_followed = wanted
         if self._watch is not None and not self._watch.done():
-            if wanted and not self._watch_answered:
+            if wanted and self._is_awaited:
                 return
             self._watch.cancel()
             self._watch = None
         if wanted:
-            self._watch_answered = False
-            self._watch = self._spawn(self._follow())
+            self._begin_watch()
 
     def fetch(self) -> None:
         """Ask once for the whole list."""
@@ -216,9 +218,9 @@
             task.cancel()
         self._tasks.clear()
         self._fetches.clear()
-        self._watch, self._watch_answered = None, False
+        self._watch = None
         if self._is_followed:
-            self._watch = self._spawn(self._hear_pushed() if self._pushed else self._follow())
+            self._begin_watch()
         for _ in range(fetches):
             self.fetch()
 
@@ -232,8 +234,12 @@
         task.add_done_callback(self._tasks.discard)
         return task
 
+    def _begin_watch(self) -> None:
+        self._is_awaited = True
+        self._watch = self._spawn(self._follow())
+
     def _new_line(self) -> _Line:
-        return _Line(self._address, self._waits.dial_s)
+        return _Line(self._address, self._waits.dial_s, self._plan)
 
     async def _fetch(self) -> None:
         line, changes = self._new_line(), self._changes
@@ -248,20 +254,20 @@
             line.close()
 
     async def _follow(self) -> None:
-        try:
-            await self._watch_on()
-        except CallFailed as fault:
-            self._watch = None
-            self._failed(fault)
-            self._on_failed()
-
-    async def _hear_pushed(self) -> None:
+        """Watch, and begin anew after each failure, in time for the plan."""
         while True:
+            self._is_awaited = True
             try:
                 await self._watch_on()
             except CallFailed as fault:
+                self._is_awaited = False
                 self._failed(fault)
-                await asyncio.sleep(self._waits.again_s)
+                if not self._pushed:
+                    self._on_failed()
+            await asyncio.sleep(min(self._waits.again_s, self._until_next(self._plan.apart_s)))
+
+    def _until_next(self, apart_s: float) -> float:
+        return max(self._begun_at + apart_s - asyncio.get_running_loop().time(), 0.0)
 
     async def _watch_on(self) -> None:
         """Watch until a call fails.  The first call waits for nothing, so that it is answered soon."""
@@ -270,11 +276,13 @@
             wait_ms = 0
             while True:
                 line, listing, changes = await self._call(line, wait_ms)
-                if listing.full or listing.entries or not self._watch_answered:
-                    self._watch_answered = True
+                is_news = listing.full or bool(listing.entries)
+                if is_news or self._is_awaited:
+                    self._is_awaited = False
                     self._heard(listing, changes)
                 self._fault = None
-                wait_ms = _WATCH_MS
+                after_news = is_news and wait_ms > 0
+                wait_ms = self._plan.wait_ms(self._clock.now(), self._instance, after_news)
         finally:
             line.close()
 
@@ -282,21 +290,22 @@
         """Call, and call anew beside a call that is overdue; give the first list, and the line it came on.
 
         Guards against learning of a drain when its grace is over: a watch that fell silent looks like one
-        with no news, and what it missed counts as told by the time at which it may be given up.  The calls
-        beside it wait for nothing, and go out on connections of their own.
+        with no news, and what it missed counts as announced whether or not it is given up.  The calls beside
+        it wait for nothing, and go out on connections of their own.
         """
         calls: dict[asyncio.Task[Listing], tuple[_Line, int]] = {}
 
         def begin(on: _Line, for_ms: int) -> None:
             work = asyncio.get_running_loop().create_task(on.call(self._version, for_ms))
             calls[work] = on, self._changes
+            self._begun_at = asyncio.get_running_loop().time()
 
         begin(line, wait_ms)
-        overdue_s = wait_ms / 1_000 + _WATCH_OVERDUE_S if wait_ms else self._waits.overdue_s
+        apart_s = wait_ms / 1_000 + self._plan.overdue_s if wait_ms else self._waits.overdue_s
         spare = _MOST_BESIDE
         try:
             while True:
-                left_s = overdue_s if spare else None  # each call ends by itself
+                left_s = self._until_next(apart_s)
                 done, _ = await asyncio.wait(calls, timeout=left_s, return_when=asyncio.FIRST_COMPLETED)
                 for call in done:
                     its, changes = calls.pop(call)
@@ -306,12 +315,11 @@
                     its.close()
                     if not calls or not isinstance(fault, CallFailed):
                         raise fault
-                    if self._pushed:
-                        spare += 1  # one is always young: the rest may hang from before the agent was back
+                    spare += 1  # one is always young: the rest may hang from before the agent was back
                 if not done:
                     spare -= 1
-                    overdue_s = self._waits.overdue_s or _WATCH_OVERDUE_S
                     begin(self._new_line(), 0)
+                apart_s = self._waits.overdue_s if spare > 0 else self._plan.apart_s
         finally:
             for call, (its, _) in calls.items():
                 call.cancel()
@@ -343,9 +351,10 @@
 class _Line:
     """Calls to discovery one after another, over one connection while that lasts."""
 
-    def __init__(self, address: Address, dial_within_s: float) -> None:
+    def __init__(self, address: Address, dial_within_s: float, plan: Schedule) -> None:
         self._address = address
         self._dial_within_s = dial_within_s
+        self._plan = plan
         self._connection: ClientConnection | None = None
 
     def close(self) -> None:
@@ -355,7 +364,9 @@
     async def call(self, after: int | None, wait_ms: int) -> Listing:
         target = _PATH if after is None else f"{_PATH}?after={after}&wait_ms={wait_ms}"
         try:
-            async with asyncio.timeout(wait_ms / 1_000 + _WATCH_WITHIN_S if wait_ms else _ANSWER_WITHIN_S):
+            async with asyncio.timeout(
+                wait_ms / 1_000 + self._plan.answer_s if wait_ms else self._plan.call_s
+            ):
                 response = await self._get(target.encode())
         except TimeoutError:
             raise CallFailed("no answer in time") from None
@@ -385,12 +396,42 @@
         return await answer
 
     async def _dial(self) -> ClientConnection:
+        """Dial, and dial again beside that where it doesn't come up soon; the first to come up serves.
+
+        Guards against a dial whose packets are lost: it is silent up to its limit.
+        """
+        loop = asyncio.get_running_loop()
+
         def made() -> ClientConnection:
-            return ClientConnection(ResponseReader(_MOST_BYTES), _ignore, _ignore, _STALLED_S)
+            return ClientConnection(ResponseReader(_MOST_BYTES), _ignore, _ignore, self._plan.stalled_s)
+
+        async def dial() -> ClientConnection:
+            _, connection = await loop.create_connection(made, *self._address)
+            return connection
+
+        dials = {loop.create_task(dial())}
+        try:
+            async with asyncio.timeout(self._dial_within_s):
+                done, _ = await asyncio.wait(dials, timeout=self._plan.dial_again_s)
+                if not done:
+                    dials.add(loop.create_task(dial()))
+                while True:
+                    done, pending = await asyncio.wait(dials, return_when=asyncio.FIRST_COMPLETED)
+                    up = [each for each in done if each.exception() is None]
+                    if up or not pending:
+                        dials.discard(served := (up or list(done))[0])
+                        return served.result()
+                    dials = pending
+        finally:
+            for each in dials:
+                each.cancel()
+                each.add_done_callback(_close_late)
+
 
-        async with asyncio.timeout(self._dial_within_s):
-            _, connection = await asyncio.get_running_loop().create_connection(made, *self._address)
-        return connection
+def _close_late(dial: asyncio.Task[ClientConnection]) -> None:
+    """One that came up in the moment in which it was called off is closed."""
+    if not dial.cancelled() and dial.exception() is None:
+        dial.result().close()
 
 
 _WHY = {
--- a/tulipnotch/sidecar/sidecar.py
+++ b/tulipnotch/sidecar/sidecar.py
@@ -151,6 +151,7 @@
             lambda: self._post(ServersListed(ListKind.FAILED)),
             lambda fault: self._log("no_list", fault=fault),
             config.settings.rules.drain_grace_us,
+            config.settings.me,
         )
         self._ladder = Ladder(levels.levels, levels.hold_us, self._clock.now()) if levels else None
         self._peers = Peers(
