Call a change announced and a list received, as the field does (rename)

`_heard` is `_received`, `tests/test_told.py` is `tests/test_announced.py`, with their references. Nothing else changes; the requests that a scripted end has heard keep their name.

--- a/tests/test_told.py
+++ b/tests/test_announced.py
@@ -1,4 +1,4 @@
-"""A drain that is announced while no watch is open: the sidecar hears of it, and sends nothing there."""
+"""A drain that is announced while no watch is open: the sidecar receives it, and sends nothing there."""
 
 from __future__ import annotations
 
@@ -52,7 +52,7 @@
 
 @pytest.mark.parametrize("mode", ["pushed", "on_request"])
 @pytest.mark.parametrize("how", ["silent", "reset", "503", "nonsense", "half", "away"])
-def test_a_drain_is_heard_of_however_the_watch_before_it_ended(
+def test_a_drain_is_received_however_the_watch_before_it_ended(
     how: str, mode: str, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     # The call that waited is lost with its news; it counts as announced all the same.
@@ -228,10 +228,10 @@
     return scene.sidecar._balancer._failed_calls if asked else dials.made
 
 
-def test_where_lists_are_pushed_a_start_hears_the_agent_before_it_listens(
+def test_where_lists_are_pushed_a_start_receives_the_list_before_it_listens(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    # What the agent has counts as told from the first moment on; the list that is remembered may be older.
+    # What the agent has counts as announced from the first moment on; the remembered list may be older.
     monkeypatch.setattr(sidecar, "_FRESH_WITHIN_S", PATIENCE_S)
 
     async def work() -> None:
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -32,7 +32,7 @@
 
 
 class Ears:
-    """What discovery told."""
+    """What discovery received."""
 
     def __init__(
         self,
@@ -105,7 +105,7 @@
     ids=str,
 )
 @pytest.mark.parametrize("how", ["follow", "fetch"])
-def test_a_call_that_fails_is_one_failure_and_the_next_is_heard(answer: bytes | None, how: str) -> None:
+def test_a_call_that_fails_is_one_failure_and_the_next_is_received(answer: bytes | None, how: str) -> None:
     async def work() -> None:
         async def once(heard: Heard) -> bytes:
             server.script = reply(json.dumps(GOOD).encode())
@@ -127,15 +127,15 @@
         assert await ears.next() is None
         assert ears.events.empty()
         call()
-        heard = await ears.next()
-        assert heard is not None and heard.version == 7
+        received = await ears.next()
+        assert received is not None and received.version == 7
         ears.discovery.close()
         server.stop()
 
     play(work)
 
 
-def test_a_move_asks_the_new_address_for_everything_and_tells_no_failure_of_the_old_one() -> None:
+def test_a_move_asks_the_new_address_for_everything_and_reports_no_failure_of_the_old_one() -> None:
     async def work() -> None:
         old, new = ScriptedDiscovery(), ScriptedDiscovery()
         new.version = 5
@@ -146,9 +146,9 @@
         assert await ears.next() is not None
         await until(lambda: len(old.heard) == 2)
         ears.discovery.move(parse_address(new.address))
-        old.tell(line("s-9", "127.0.0.2:80"))  # nobody hears it any more
-        heard = await ears.next()
-        assert heard is not None and heard.version == 5
+        old.tell(line("s-9", "127.0.0.2:80"))  # nobody receives it any more
+        received = await ears.next()
+        assert received is not None and received.version == 5
         await until(lambda: old.closed == [0])
         await until(lambda: len(new.heard) == 2)
         assert new.heard[0].target == "/catalog/members"
@@ -161,7 +161,7 @@
 
 
 def test_a_fetch_that_was_overtaken_by_news_changes_nothing() -> None:
-    # Guards against an old list that ends after newer changes: a server told to drain would be ready again.
+    # Guards against an old list that ends after newer changes: a server that drains would be ready again.
     async def work() -> None:
         release = asyncio.Event()
 
@@ -226,7 +226,7 @@
     play(work)
 
 
-def test_pushed_lists_are_heard_unasked_also_after_the_agent_was_away() -> None:
+def test_pushed_lists_are_received_unasked_also_after_the_agent_was_away() -> None:
     async def work() -> None:
         server = ScriptedDiscovery()
         await server.start()
@@ -240,8 +240,8 @@
         again.servers = [line("s-1", f"{HOST}:80")]
         await again.start(port)
         again.tell(line("s-2", f"{HOST}:80"))
-        heard = await ears.next()
-        assert heard is not None and heard.version == 10
+        received = await ears.next()
+        assert received is not None and received.version == 10
         assert ears.events.empty()
         ears.discovery.close()
         again.stop()
@@ -249,12 +249,12 @@
     play(work)
 
 
-async def _is_heard_unasked(server: ScriptedServer) -> None:
+async def _is_received_unasked(server: ScriptedServer) -> None:
     """Where lists are pushed, the good one arrives whatever hangs."""
     ears = Ears(server, pushed=True, plan=NEVER)
     ears.discovery.start()
-    heard = await ears.next()
-    assert heard is not None and heard.version == 7
+    received = await ears.next()
+    assert received is not None and received.version == 7
     ears.discovery.close()
     server.stop()
 
@@ -269,8 +269,8 @@
         ears.discovery.follow(True)
         assert await ears.next() is not None
         server.version, server.servers = 2, [line("s-1", f"{HOST}:80", state="leaving")]
-        heard = await ears.next()
-        assert heard is not None and heard.version == 2
+        received = await ears.next()
+        assert received is not None and received.version == 2
         assert server.connections >= 2
         ears.discovery.close()
         server.stop()
@@ -320,8 +320,8 @@
         monkeypatch.setattr(asyncio.get_running_loop(), "create_connection", dial, raising=False)
         ears = Ears(server, plan=Schedule(4.8))  # 0.2 s to the second dial, 0.8 s to the limit of the first
         ears.discovery.follow(True)
-        heard = await ears.next()
-        assert heard is not None and heard.version == 7 and ears.faults == []
+        received = await ears.next()
+        assert received is not None and received.version == 7 and ears.faults == []
         ears.discovery.close()
         server.stop()
         slow.close()
@@ -331,13 +331,13 @@
 
 @pytest.mark.parametrize("hangs_at", [0, 1], ids=["the first call", "the second call too"])
 def test_where_lists_are_pushed_a_call_without_an_answer_is_made_again_beside_it(hangs_at: int) -> None:
-    # Guards against a hung connection to the agent: all that it has counts as told meanwhile.
+    # Guards against a hung connection to the agent: all that it has counts as announced meanwhile.
     async def work() -> None:
         async def answer(heard: Heard) -> bytes | None:
             return None if heard.connection <= hangs_at else reply(json.dumps(GOOD).encode())
 
         server = await ScriptedServer(answer).start()
-        await _is_heard_unasked(server)
+        await _is_received_unasked(server)
 
     play(work)
 
@@ -364,10 +364,10 @@
     assert asked.overdue_s > Schedule().call_s  # a call is over before the next: never two beside a watch
 
 
-def test_where_lists_are_pushed_a_hung_dial_does_not_keep_the_agent_from_being_heard(
+def test_where_lists_are_pushed_a_hung_dial_does_not_keep_the_list_from_being_received(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    # An agent that is away may let dials hang; what it has at its return counts as told at once.
+    # An agent that is away may let dials hang; what it has at its return counts as announced at once.
     for name in ("_PUSHED_DIAL", "_PUSHED_MOST_S"):  # the hung one is never given up
         monkeypatch.setattr(discovery, name, 1_000.0)
     monkeypatch.setattr(discovery, "_PUSHED_OVERDUE", 0.02)
@@ -383,7 +383,7 @@
             return await real(made, *parse_address(next(where, server.address)))
 
         monkeypatch.setattr(asyncio.get_running_loop(), "create_connection", dial, raising=False)
-        await _is_heard_unasked(server)
+        await _is_received_unasked(server)
         slow.close()
 
     play(work)
@@ -403,7 +403,7 @@
     ids=["cut short", "broken off", "turned away", "strange"],
 )
 @pytest.mark.parametrize("pushed", [True, False])
-def test_a_list_that_cant_be_used_is_told_once_and_asked_for_again(
+def test_a_list_that_cant_be_used_is_reported_once_and_asked_for_again(
     answer: bytes, cause: str, pushed: bool
 ) -> None:
     async def work() -> None:
@@ -417,11 +417,11 @@
         server = await ScriptedServer(script).start()
         ears = Ears(server, pushed=pushed)
         ears.discovery.start()
-        heard: Listing | None = None
-        while heard is None:
+        received: Listing | None = None
+        while received is None:
             ears.discovery.follow(True)  # where lists are pushed it asks by itself
-            heard = await ears.next()
-        assert heard.version == 7 and [each.listed.server for each in heard.entries] == ["s-1"]
+            received = await ears.next()
+        assert received.version == 7 and [each.listed.server for each in received.entries] == ["s-1"]
         assert len(ears.faults) == 1 and cause in ears.faults[0]
         ears.discovery.close()
         server.stop()
--- a/tulipnotch/sidecar/discovery.py
+++ b/tulipnotch/sidecar/discovery.py
@@ -19,8 +19,8 @@
 _MOST_BYTES = 4 << 20  # of a whole list
 _PLAN = Schedule()
 _MOST_BESIDE = 2  # calls soon beside one that is overdue: a directory with a long line is not asked on and on
-# Where lists are pushed, what the agent has counts as told with no watch open too: a watch is taken up, and
-# a call that is not answered is made again, after such parts of the grace that a drain has.
+# Where lists are pushed, what the agent has counts as announced with no watch open too: a watch is taken up,
+# and a call that is not answered is made again, after such parts of the grace that a drain has.
 _PUSHED_AGAIN = 0.2
 _PUSHED_OVERDUE = 0.4
 _PUSHED_DIAL = 0.8
@@ -134,7 +134,7 @@
     """Calls to discovery.  Every `follow` and `fetch` is answered by `on_list` or `on_failed`.
 
     While the list is followed, calls begin `Schedule.apart_s` from each other at most, whatever became of the
-    one before: `follow` may ask sooner, and need not be called again.  `on_fault` is told why there is no
+    one before: `follow` may ask sooner, and need not be called again.  `on_fault` gets why there is no
     list, once for each cause until there is one again.
     """
 
@@ -156,7 +156,7 @@
         self._on_list = on_list
         self._on_failed = on_failed
         self._on_fault = on_fault
-        self._fault: str | None = None  # what was told of last, while there is no list
+        self._fault: str | None = None  # what was reported last, while there is no list
         self._plan = plan or _PLAN
         self._waits = Waits.of(pushed, grace_us, self._plan)
         self._instance = instance
@@ -174,7 +174,7 @@
         self._waits = Waits.of(self._pushed, grace_us, self._plan)
 
     def start(self) -> None:
-        """Where lists are pushed, the agent's are heard from the start on, unasked."""
+        """Where lists are pushed, the agent's are received from the start on, unasked."""
         if self._pushed:
             self._begin_watch()
 
@@ -207,7 +207,7 @@
     def move(self, address: Address) -> None:
         """Ask at another address from now on, and leave the old one at once.
 
-        What was on its way is asked anew there: no failure of the old one is told.  The other discovery
+        What was on its way is asked anew there: no failure of the old one is reported.  The other discovery
         counts its own versions, so it is asked for everything first, and taken whatever was known.
         """
         self._address = address
@@ -249,7 +249,7 @@
             self._failed(fault)
             self._on_failed()
         else:
-            self._heard(listing, changes)
+            self._received(listing, changes)
         finally:
             line.close()
 
@@ -279,7 +279,7 @@
                 is_news = listing.full or bool(listing.entries)
                 if is_news or self._is_awaited:
                     self._is_awaited = False
-                    self._heard(listing, changes)
+                    self._received(listing, changes)
                 self._fault = None
                 after_news = is_news and wait_ms > 0
                 wait_ms = self._plan.wait_ms(self._clock.now(), self._instance, after_news)
@@ -331,7 +331,7 @@
             self._fault = str(fault)
             self._on_fault(self._fault)
 
-    def _heard(self, listing: Listing, changes: int) -> None:
+    def _received(self, listing: Listing, changes: int) -> None:
         """Take over an answer to a call that began when so many changes were known.
 
         Guards against a list that was overtaken: a fetch and a watch run side by side, and the one that began
