--- a/tests/test_announced.py
+++ b/tests/test_announced.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import socket
+import time
 from collections.abc import Callable
 from typing import Any
 
@@ -222,6 +223,28 @@
     assert took < PLAN.announced_s - PLAN.answer_s  # the stand-in has no line, so its part is left over
 
 
+def test_an_instance_waits_to_its_own_turn(monkeypatch: pytest.MonkeyPatch) -> None:
+    # Guards against a fleet in step: its number is what tells its turns from the others'.
+    asked: list[tuple[int, int, bool]] = []
+
+    def wait_ms(plan: Schedule, now_us: int, instance: int, after_news: bool) -> int:
+        asked.append((now_us, instance, after_news))
+        return 2_000
+
+    monkeypatch.setattr(Schedule, "wait_ms", wait_ms)
+
+    async def work() -> None:
+        async with stage(OK, OK, me=7) as scene:
+            await until(lambda: len(scene.discovery.heard) >= 2)
+            assert scene.discovery.heard[1].target.endswith("wait_ms=2000")
+            scene.discovery.tell(_leaving(scene))
+            await until(lambda: len(scene.discovery.heard) >= 3)
+        assert [each[1:] for each in asked] == [(7, False), (7, True)]
+        assert all(abs(now_us / 1e6 - time.time()) < PATIENCE_S for now_us, *_ in asked)  # of one clock
+
+    play(work)
+
+
 def _failures(scene: Stage, dials: Dials) -> int:
     """Calls that failed in a row where lists are asked for; where they are pushed, dials are as many."""
     asked = scene.sidecar.config.settings.discovery is Mode.ON_REQUEST
