--- a/tulipnotch/sidecar/frontend.py
+++ b/tulipnotch/sidecar/frontend.py
@@ -149,7 +149,7 @@
             self.cut()
 
     def answer(self, status: int, headers: Headers, body: bytes, length: int | None = None) -> None:
-        """Write the one answer to the open request; `length` is told where no body may follow."""
+        """Write the one answer to the open request; `length` is given where no body may follow."""
         self._owed = None
         if self._transport is None or self._transport.is_closing():
             return
--- a/tulipnotch/sidecar/sidecar.py
+++ b/tulipnotch/sidecar/sidecar.py
@@ -176,7 +176,7 @@
 
         A fresh list is worth a wait where the version before serves meanwhile.  Where nobody does, the known
         one is good enough, and a release that kills most sidecars at once leaves discovery with a long line.
-        Where lists are pushed it is not: all that the agent has counts as told from the first moment on.
+        Where lists are pushed it is not: all that the agent has counts as announced from the first moment on.
         """
         self._is_inherited = self._shares_room = inherited is not None
         if self._settings.limits.may_message and self.config.peer_listen is not None:
@@ -213,10 +213,10 @@
     async def _freshly_listed(self, within_s: float) -> None:
         await self._until(self._has_fresh_list, within_s)
 
-    async def _until(self, heard: asyncio.Event, within_s: float) -> None:
+    async def _until(self, received: asyncio.Event, within_s: float) -> None:
         try:
             async with asyncio.timeout(within_s):
-                await heard.wait()
+                await received.wait()
         except TimeoutError:
             self._log("no_fresh_list", waited_s=within_s)
 
@@ -458,7 +458,7 @@
         held = self._open[attempt.request]
         held.out -= 1
         if held.streamed == attempt.number:
-            self._stream_ended(held, outcome)  # the decisions heard of it when it began
+            self._stream_ended(held, outcome)  # the decisions received it when it began
             self._forget_if_over(attempt.request)
             return
         held.last_outcome = outcome
