Play the laboratory's slowest tests side by side, each play in a process of its own

Now independent plays of one test run at once in spawned processes (tests/lab/side_by_side.py), and the work that came is noted as it comes in place of being drawn a second time.

Tried and not taken: three shorter worlds in place of one for the mean field.

--- a/tests/lab/test_model.py
+++ b/tests/lab/test_model.py
@@ -7,14 +7,16 @@
 
 import msgspec
 import pytest
+from side_by_side import side_by_side
 from worlds import world
 
-from tulipnotch.lab import fleet, load
+from tulipnotch.lab import fleet
 from tulipnotch.lab.ledger import Ledger
+from tulipnotch.lab.load import Ask
 from tulipnotch.lab.policies import POLICIES
 from tulipnotch.lab.scenario import Scenario
 from tulipnotch.lab.server import Job, OrderServer, Stage, Verdict
-from tulipnotch.lab.virtual import World
+from tulipnotch.lab.virtual import MakePolicy, World
 
 QUIET = {
     "network": dict.fromkeys(("same_ms", "cross_ms", "client_ms", "handshake_work_ms"), 0.0)
@@ -25,16 +27,27 @@
 PATIENT = {"name": "x", "work_ms": 100.0, "dist": "exponential", "aim_ms": 9e5, "deadline_ms": 9e5}
 
 
+class Noting(World):
+    """A world that notes the work that came."""
+
+    def __init__(self, given: Scenario, seed: int, make: MakePolicy) -> None:
+        super().__init__(given, seed, make)
+        self.work_us: list[float] = []
+
+    def _arrive(self, ask: Ask, asks: Any) -> None:
+        self.work_us.append(ask.work_us)
+        super()._arrive(ask, asks)
+
+
 def mean_wait(given: Scenario, policy: str, seed: int) -> tuple[float, float]:
     """In units of the mean work, and the load as it was drawn, in parts of the capacity.
 
     Theory is asked about the load that came, not the one that was meant: that takes most of the chance out.
     """
-    run = World(given, seed, POLICIES[policy])
+    run = Noting(given, seed, POLICIES[policy])
     run.run()
-    asks = list(load.arrivals(given, seed, 0, load.rates(given, seed, run.capacity)[0]))
-    work_us = math.fsum(each.work_us for each in asks) / len(asks)
-    busy = work_us * len(asks) / (given.seconds * 1e6 * run.capacity)
+    work_us = math.fsum(run.work_us) / len(run.work_us)
+    busy = work_us * len(run.work_us) / (given.seconds * 1e6 * run.capacity)
     assert run.recorder.all.asked == run.recorder.latency.get_total_count() > 0
     return run.recorder.latency.get_mean_value() / work_us - 1.0, busy
 
@@ -54,7 +67,7 @@
         fleet={"servers": 1, "sidecars": 1, "queue_per_core": 1_000_000,
                "kinds": [{"name": "k", "cores": cores}]}, **QUIET,
     )  # fmt: skip
-    runs = [mean_wait(given, "random", seed) for seed in (1, 2, 3)]
+    runs = side_by_side(mean_wait, [(given, "random", seed) for seed in (1, 2, 3)])
     expected = [erlang_c(cores, cores * busy) / (cores * (1.0 - busy)) for _, busy in runs]
     assert sum(wait for wait, _ in runs) == pytest.approx(sum(expected), rel=0.03)
 
@@ -66,10 +79,11 @@
         fleet={"servers": 200, "sidecars": 1, "queue_per_core": 1_000_000,
                "kinds": [{"name": "k", "cores": 1}]}, **QUIET,
     )  # fmt: skip
-    wait, busy = mean_wait(given, "least-of-2", 1)
+    short = msgspec.structs.replace(given, seconds=40.0)
+    (wait, busy), (at_random, _) = side_by_side(mean_wait, [(given, "least-of-2", 1), (short, "random", 1)])
     assert wait == pytest.approx(sum(busy ** (2**i - 2) for i in range(2, 12)), rel=0.03)
     # Random choice is M/M/1 at each server, and far from it: the test tells policies apart.
-    assert mean_wait(msgspec.structs.replace(given, seconds=40.0), "random", 1)[0] > 2.0 * wait
+    assert at_random > 2.0 * wait
 
 
 # One server by itself
