Cut an answer under way by a reset, so that one without a length never looks whole

Seen: an HTTP/1.0 client that was being passed an answer of no length met an orderly end after the order server had reset its connection, or had stopped sending: 50,000 bytes of what may have been more, and nothing to tell it by. To blame: `ClientSide.cut` aborts the transport, which closes the socket, and with nothing unread that is an orderly end. Ruled out: HTTP/1.1 clients (chunks have an end) and the order servers' side, where a reset is a failure and only an orderly end is the answer's, for lists too.

`cut` now has the close reset the connection while an answer passes through. Acting on a transport's own socket is one function (`own_socket`), which needs no further descriptor: the one that an abandoned attempt's end had needed may not be there when they are short.

Tests: [HTTP/1.0-reset] and [HTTP/1.0-stall] of `test_a_client_can_tell_how_an_answer_of_no_length_ended_...` are red on the program before (`DID NOT RAISE ConnectionError`); the nine others of no length were green and stay. Pass: test_instants, _frontend, _streaming, _upstream, _leaving, _sidecar, _discovery.

--- a/tests/test_instants.py
+++ b/tests/test_instants.py
@@ -3,7 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+import json
+import os
 import socket
+import struct
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 
@@ -14,6 +17,7 @@
     HOST,
     OK,
     Heard,
+    ScriptedServer,
     Stage,
     holding,
     line,
@@ -26,6 +30,7 @@
 )
 from slow_to_accept import SlowToAccept
 
+from tulipnotch.sidecar import client as client_module
 from tulipnotch.sidecar import upstream
 from tulipnotch.sidecar.frontend import ClientLimits, State
 
@@ -245,3 +250,116 @@
         slow.close()
 
     play(work)
+
+
+def _reset(writer: asyncio.StreamWriter) -> None:
+    """End the connection by a reset, at once."""
+    plain = socket.socket(fileno=os.dup(writer.get_extra_info("socket").fileno()))
+    plain.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    plain.close()
+    writer.transport.abort()
+
+
+_NO_LENGTH = b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n"
+
+
+@pytest.mark.parametrize("end", ["fin", "reset", "reset in one go"])
+def test_an_answer_of_no_length_is_whole_after_an_end_and_broken_after_a_reset(end: str) -> None:
+    async def work() -> None:
+        def reader_has_part() -> bool:
+            calls = [call for each in scene.sidecar._open.values() for call in each.calls]
+            return any(each.connection is not None and each.connection._reader.has_part for each in calls)
+
+        async def script(heard: Heard) -> None:
+            heard.writer.write(_NO_LENGTH + b"served")
+            if end == "fin":
+                heard.writer.close()
+                return
+            if end == "reset":
+                await until(reader_has_part)
+            _reset(heard.writer)
+
+        async with stage(script, script) as scene:
+            answer = await scene.ask("lodge")
+            assert (answer.status, answer.body) == ((200, b"served") if end == "fin" else (502, b""))
+            assert len(scene.heard) == 1  # it may have run
+
+    play(work)
+
+
+@pytest.mark.parametrize("end", ["fin", "reset", "stall"])
+@pytest.mark.parametrize("version", [b"HTTP/1.0", b"HTTP/1.1"])
+def test_a_client_can_tell_how_an_answer_of_no_length_ended_that_passed_through(
+    version: bytes, end: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # For HTTP/1.0 nothing but the connection's end frames it: an orderly one would say that it is whole.
+    monkeypatch.setattr(client_module, "_PASSING_TIMEOUT_S", 0.2)
+
+    async def work() -> None:
+        go_on = asyncio.Event()
+
+        async def script(heard: Heard) -> None:
+            heard.writer.write(_NO_LENGTH + _LARGE)
+            await go_on.wait()
+            if end == "fin":
+                heard.writer.close()
+            elif end == "reset":
+                _reset(heard.writer)
+
+        async with stage(script) as scene:
+            client = await scene.client()
+            client.send(request("lodge").replace(b"HTTP/1.1", version, 1))
+            got = await soon(client.reader.readexactly(len(_LARGE)))  # most of it has passed
+            go_on.set()
+            if end == "fin":
+                got += await soon(client.reader.read())
+                whole = got.partition(b"\r\n\r\n")[2]
+                assert whole == _LARGE if version == b"HTTP/1.0" else whole.endswith(b"\r\n0\r\n\r\n")
+            elif version == b"HTTP/1.0":
+                with pytest.raises(ConnectionError):
+                    await soon(client.reader.read())
+            else:
+                try:
+                    got += await soon(client.reader.read())
+                except ConnectionError:
+                    pass
+                assert not got.endswith(b"\r\n0\r\n\r\n")
+            await until(lambda: scene.sidecar.open_requests == 0)
+
+    play(work)
+
+
+@pytest.mark.parametrize("end", ["fin", "reset"])
+def test_a_list_of_no_length_is_taken_after_an_end_and_not_after_a_reset(end: str) -> None:
+    async def work() -> None:
+        answered = 0
+
+        async def script(heard: Heard) -> bytes | None:
+            nonlocal answered
+            if "wait_ms=2" in heard.target:
+                await asyncio.Event().wait()  # a watch: no news
+            answered += 1
+            listed = json.dumps({"version": 2, "full": True, "servers": []}).encode()
+            heard.writer.write(_NO_LENGTH + listed)
+            await heard.writer.drain()
+            if end == "fin":
+                heard.writer.close()
+            else:
+                _reset(heard.writer)
+            return None
+
+        discovery = await ScriptedServer(script).start()
+        async with stage(OK, given={"discovery": discovery.address}) as scene:
+            await until(lambda: scene.sidecar._discovery.has_tried.is_set())
+            members = len(scene.sidecar._balancer._servers)
+            if end == "fin":
+                await until(lambda: scene.sidecar._has_fresh_list.is_set())
+                assert scene.sidecar._balancer.members()[0] == 0
+            else:
+                await until(lambda: answered >= 3)
+                assert not scene.sidecar._has_fresh_list.is_set()
+                assert scene.sidecar._balancer.members()[0] == members == 1
+                assert any("broke" in each for each in scene.log)
+        discovery.stop()
+
+    play(work)
--- a/tulipnotch/sidecar/client.py
+++ b/tulipnotch/sidecar/client.py
@@ -7,10 +7,10 @@
 
 import asyncio
 import ipaddress
-import os
 import select
 import socket
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
 from enum import Enum, unique
 from typing import Protocol, cast
 
@@ -36,6 +36,21 @@
     return host.strip("[]"), number
 
 
+@contextmanager
+def own_socket(transport: asyncio.BaseTransport) -> Iterator[socket.socket]:
+    """The socket of an open transport, to act on at once; what fails because the peer was quicker is let be.
+
+    Event loops lend theirs only to look at.  No descriptor more is needed: there may be none.
+    """
+    plain = socket.socket(fileno=transport.get_extra_info("socket").fileno())
+    try:
+        yield plain
+    except OSError:
+        pass
+    finally:
+        plain.detach()
+
+
 @unique
 class Failure(Enum):
     """Why an exchange has no answer."""
@@ -144,12 +159,8 @@
         self._let_go_of_body()
         self._stop_timer()
         if self._transport is not None and not self._closed:
-            try:
-                # By a descriptor of its own: the loop's transports lend their sockets only to look at.
-                with socket.socket(fileno=os.dup(self._transport.get_extra_info("socket").fileno())) as own:
-                    own.shutdown(socket.SHUT_RDWR)
-            except OSError:
-                pass  # the peer was quicker
+            with own_socket(self._transport) as own:
+                own.shutdown(socket.SHUT_RDWR)
             self._transport.abort()
         self._report_closed()
 
--- a/tulipnotch/sidecar/frontend.py
+++ b/tulipnotch/sidecar/frontend.py
@@ -5,6 +5,7 @@
 import asyncio
 import select
 import socket
+import struct
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 from enum import Enum, unique
@@ -12,6 +13,7 @@
 from typing import Protocol, cast
 
 from tulipnotch.decisions.interface import ServiceClass, Settings
+from tulipnotch.sidecar.client import own_socket
 from tulipnotch.sidecar.http1 import (
     CONTINUE,
     KEPT,
@@ -32,6 +34,7 @@
 _HAS_ENDED = (
     select.POLLRDHUP | select.POLLHUP | select.POLLERR
 )  # of a client's socket, also with bytes unread
+_RESET = struct.pack("ii", 1, 0)  # for SO_LINGER: a close sends nothing more, and a reset
 _CLASS_FADES_S = 2.0  # how long a class that the settings no longer name is taken: requests are on their way
 
 
@@ -230,29 +233,24 @@
         self._frontend.moved(self, State.ENDING)
         self._reader.release()
         if not self.is_unsent:
-            self._end_sending()
+            # Guards against a request that comes between a look at the socket and the event loop's own
+            # shutdown, a round later: it would be dropped though it came before our end.
+            with own_socket(transport) as own:
+                own.shutdown(socket.SHUT_WR)
         transport.write_eof()
         self._resume_reading()
 
-    def _end_sending(self) -> None:
-        """Tell the client at once that nothing more comes.
+    def cut(self) -> None:
+        """Close it whatever is unsent; in the middle of an answer by a reset.
 
-        Guards against a request that comes between a look at the socket and the event loop's own shutdown,
-        a round later: without word of it, it would have been read and dropped.
+        Guards against an answer that ends with its connection: after an orderly end it would look whole.
         """
-        assert self._transport is not None
-        plain = socket.socket(fileno=self._transport.get_extra_info("socket").fileno())
-        try:
-            plain.shutdown(socket.SHUT_WR)
-        except OSError:
-            pass  # the client was quicker
-        finally:
-            plain.detach()  # the descriptor is the event loop's
-
-    def cut(self) -> None:
-        """Close it whatever is unsent."""
-        if self._transport is not None:
-            self._transport.abort()
+        if self._transport is None:
+            return
+        if self._source is not None:  # so it is open
+            with own_socket(self._transport) as own:
+                own.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET)
+        self._transport.abort()
 
     def reject(self, status: int, text: str = "") -> None:
         """Answer what can't be served, then hang up, whatever else came behind it.
