Have a first list within a second of discovery's return: ask each 0.75 s while there is none

Seen at the start: asked 2.3 s (refused, 503) and 3.9 s (hung) after discovery's return, and 1.4 s where pushed. The rest between failed calls grows to 2.5 s, a hung call was waited for alone, and the plan of calls (3.45 s apart at most) is made for those who have a list that ages, not for those who have none.

While no list was ever held (`known` empty, no answer yet) the next call begins at the instance's own next turn of those an eighth of the 6 s apart, whatever became of the last: Schedule.until_turn_s, one more bound in Discovery._until_next. The decisions are as they were.

--- a/tulipnotch/sidecar/discovery.py
+++ b/tulipnotch/sidecar/discovery.py
@@ -149,6 +149,7 @@
         grace_us: int = 0,
         instance: int = 0,  # its number in the fleet: it spreads the calls
         plan: Schedule | None = None,
+        has_list: bool = True,  # whether any server is known: while none is, calls begin closer together
     ) -> None:
         self._address = address
         self._version = version
@@ -160,6 +161,7 @@
         self._plan = plan or _PLAN
         self._waits = Waits.of(pushed, grace_us, self._plan)
         self._instance = instance
+        self._has_list = has_list
         self._clock = Clock()
         self.has_tried = asyncio.Event()  # whether a call has been answered, or has failed
         self._is_followed = pushed
@@ -167,6 +169,7 @@
         self._watch: asyncio.Task[None] | None = None
         self._is_awaited = False  # whether the watch has neither been answered yet nor failed
         self._begun_at = 0.0  # when the last call of a watch began, in the loop's time
+        self._turn_s = 0.0  # from there to the next where there is no list
         self._fetches: set[asyncio.Task[None]] = set()
         self._tasks: set[asyncio.Task[None]] = set()
 
@@ -267,6 +270,9 @@
             await asyncio.sleep(min(self._waits.again_s, self._until_next(self._plan.apart_s)))
 
     def _until_next(self, apart_s: float) -> float:
+        """Until the next call is due: so long after the last one began, or sooner where there is no list."""
+        if not self._has_list:
+            apart_s = min(apart_s, self._turn_s)
         return max(self._begun_at + apart_s - asyncio.get_running_loop().time(), 0.0)
 
     async def _watch_on(self) -> None:
@@ -299,6 +305,7 @@
             work = asyncio.get_running_loop().create_task(on.call(self._version, for_ms))
             calls[work] = on, self._changes
             self._begun_at = asyncio.get_running_loop().time()
+            self._turn_s = self._plan.until_turn_s(self._clock.now(), self._instance)
 
         begin(line, wait_ms)
         apart_s = wait_ms / 1_000 + self._plan.overdue_s if wait_ms else self._waits.overdue_s
@@ -344,6 +351,7 @@
             self._version = listing.version
             self._changes += 1
         self._fault = None
+        self._has_list = True
         self.has_tried.set()
         self._on_list(listing)
 
--- a/tulipnotch/sidecar/schedule.py
+++ b/tulipnotch/sidecar/schedule.py
@@ -73,6 +73,20 @@
         """From one turn of an instance to its next, a little under `watch_s`: an answer may come early."""
         return self.watch_s - self.announced_s / 60
 
+    @property
+    def unlisted_s(self) -> float:
+        """From one call to the next while no list was ever held: nothing can be served meanwhile."""
+        return self.announced_s / 8
+
+    def until_turn_s(self, now_us: int, instance: int) -> float:
+        """Until the instance's next own turn of those `unlisted_s` apart; one that is just now is over.
+
+        Guards against a fleet in step, as `wait_ms` does, and against two calls where a timer fires early.
+        """
+        early = self.announced_s / 600
+        own = instance * _GOLDEN % 1.0 * self.unlisted_s
+        return self.unlisted_s + early - (now_us / 1e6 + early - own) % self.unlisted_s
+
     def wait_ms(self, now_us: int, instance: int, after_news: bool) -> int:
         """How long the next watch waits (ms): to the instance's last own turn within `watch_s`.
 
--- a/tulipnotch/sidecar/sidecar.py
+++ b/tulipnotch/sidecar/sidecar.py
@@ -152,6 +152,7 @@
             lambda fault: self._log("no_list", fault=fault),
             config.settings.rules.drain_grace_us,
             config.settings.me,
+            has_list=bool(config.known.entries),
         )
         self._ladder = Ladder(levels.levels, levels.hold_us, self._clock.now()) if levels else None
         self._peers = Peers(
