--- a/tests/test_instants.py
+++ b/tests/test_instants.py
@@ -5,10 +5,14 @@
 import asyncio
 import json
 import os
+import resource
+import signal
 import socket
 import struct
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Coroutine, Iterator
 from contextlib import asynccontextmanager
+from pathlib import Path
+from typing import Any, TypeVar
 
 import pytest
 from loopback import (
@@ -28,11 +32,14 @@
     stage,
     until,
 )
+from running import program
 from slow_to_accept import SlowToAccept
 
 from tulipnotch.sidecar import client as client_module
-from tulipnotch.sidecar import upstream
-from tulipnotch.sidecar.frontend import ClientLimits, State
+from tulipnotch.sidecar import control, listener, upstream
+from tulipnotch.sidecar.frontend import ClientLimits, ClientSide, State
+
+T = TypeVar("T")
 
 # Far less than the client's side takes at once: most of it is still with the sidecar's system when it closes.
 _LARGE = bytes(range(250)) * 200
@@ -107,8 +114,11 @@
     play(work)
 
 
+@pytest.mark.parametrize("part", ["whole", "first half"])
 @pytest.mark.parametrize("why", ["idle for long", "drain", "evacuation"])
-def test_a_request_in_the_instant_of_a_close_takes_no_answer_with_it_and_is_not_sent_on(why: str) -> None:
+def test_a_request_in_the_instant_of_a_close_takes_no_answer_with_it_and_is_not_sent_on(
+    why: str, part: str
+) -> None:
     # It crosses the close, so its client sends it again; nothing may come of this copy.
     async def work() -> None:
         limits = ClientLimits(linger_s=0.05, sweep_s=600.0, idle_timeout_s=0.0, leaving_s=0.0)
@@ -124,8 +134,11 @@
                     scene.sidecar.lifecycle.evacuate()
                 frontend._close_overdue()
             again = request("lodge")
-            client.send(again)  # the event loop has not run since
-            await asyncio.sleep(2 * limits.linger_s)
+            at = len(again) if part == "whole" else len(again) // 2
+            client.send(again[:at])  # the event loop has not run since
+            await asyncio.sleep(limits.linger_s)
+            client.send(again[at:])
+            await asyncio.sleep(limits.linger_s)
             frontend._close_overdue()
             await until(lambda: frontend.open_connections == 0)
             got, was_reset = await client.rest()
@@ -306,7 +319,8 @@
             elif end == "reset":
                 _reset(heard.writer)
 
-        async with stage(script) as scene:
+        limits = ClientLimits(idle_timeout_s=0.1, sweep_s=0.01)
+        async with stage(script, client_limits=limits) as scene:
             client = await scene.client()
             client.send(request("lodge").replace(b"HTTP/1.1", version, 1))
             got = await soon(client.reader.readexactly(len(_LARGE)))  # most of it has passed
@@ -363,3 +377,288 @@
         discovery.stop()
 
     play(work)
+
+
+def _send_now(writer: asyncio.StreamWriter, raw: bytes) -> None:
+    """Send at once; on loopback it lies in the other side's socket when this is done, if that is open."""
+    with client_module.own_socket(writer.transport) as own:
+        own.send(raw)
+
+
+@pytest.fixture
+def nothing_breaks() -> Iterator[None]:
+    """Exceptions that the event loop would only log fail the test."""
+    found: list[object] = []
+    before = asyncio.Runner.run
+
+    def note(loop: asyncio.AbstractEventLoop, what: dict[str, Any]) -> None:
+        if not isinstance(
+            what.get("exception"), asyncio.CancelledError
+        ):  # a scripted end's, as it is taken down
+            found.append(what)
+
+    def run(runner: asyncio.Runner, work: Coroutine[Any, Any, T], **how: Any) -> T:
+        runner.get_loop().set_exception_handler(note)
+        return before(runner, work, **how)
+
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr(asyncio.Runner, "run", run)
+        yield
+    assert found == []
+
+
+_HALF_LINES = [b"H", b"HTT", b"HTTP/1.1 20", b"HTTP/1.1 200 OK\r\nContent-Le", b"x", b"\r", b"\r\n", b"\0"]
+
+
+@pytest.mark.parametrize("half", _HALF_LINES)
+@pytest.mark.parametrize("when", ["in one piece", "at rest", "just before use"])
+def test_half_a_line_behind_an_answer_spoils_no_further_request(
+    half: bytes, when: str, monkeypatch: pytest.MonkeyPatch, nothing_breaks: None
+) -> None:
+    # An unsafe request must not be lost to it: the connection goes, or what came means nothing.
+    monkeypatch.setattr(upstream, "_REST_US", 0)
+
+    async def work() -> None:
+        async def script(heard: Heard) -> bytes:
+            answer = reply(heard.target.rpartition("/")[2].encode())
+            return answer + half if when == "in one piece" else answer
+
+        async with stage(script) as scene:
+            client = await scene.client()
+            for number in range(10, 20):
+                assert (await client.ask("lodge", target=f"/api/{number}")).body == b"%d" % number
+                if when != "in one piece":
+                    _send_now(scene.heard[-1].writer, half)
+                if when == "just before use":
+                    (server,) = scene.sidecar._upstream._servers.values()
+                    assert scene.sidecar._upstream._take(server) is None  # the event loop has not run
+                if when != "in one piece":
+                    await until(lambda seen=number - 9: len(scene.servers[0].closed) == seen)  # type: ignore[misc]
+
+    play(work)
+
+
+@pytest.mark.parametrize("when", ["given up", "idle closed", "all closed"])
+def test_half_a_line_in_the_instant_of_a_close_at_the_order_servers_side_is_nobodys(
+    when: str, nothing_breaks: None
+) -> None:
+    async def work() -> None:
+        release, hold = holding()
+        async with stage(hold) as scene:
+            client = await scene.client()
+            client.send(request("lodge", timeout="15"))
+            await until(lambda: len(scene.heard) == 1)
+            if when == "given up":
+                ((call,),) = [each.calls for each in scene.sidecar._open.values()]
+                scene.sidecar._upstream.cancel(call)
+            else:
+                release.set()
+                assert (await client.answer()).status == 200
+                if when == "idle closed":
+                    scene.sidecar._upstream.close_all_idle()
+                else:
+                    scene.sidecar._upstream.close()
+            _send_now(scene.heard[0].writer, b"HTTP/1.1 200 OK\r\nContent-Le")  # the event loop has not run
+            release.set()
+            await until(lambda: scene.servers[0].closed == [0])
+            if when == "given up":
+                assert (await client.answer()).status != 200
+            assert (await client.ask("lodge")).status == 200
+            assert scene.servers[0].connections == 2
+
+    play(work)
+
+
+def test_small_writes_are_held_back_on_no_socket(monkeypatch: pytest.MonkeyPatch) -> None:
+    # What the system still holds back goes with a reset: each socket is set before its first byte.
+    found: dict[str, set[int]] = {}
+
+    def watched(kind: type[Any]) -> None:
+        made = kind.connection_made
+
+        def connection_made(self: object, transport: asyncio.BaseTransport) -> None:
+            plain = transport.get_extra_info("socket")
+            peer = "discovery" if plain.getpeername()[1] == discovery_port else kind.__name__
+            found.setdefault(peer, set()).add(plain.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY))
+            made(self, transport)
+
+        monkeypatch.setattr(kind, "connection_made", connection_made)
+
+    for kind in (ClientSide, client_module.ClientConnection, control._Caller):
+        watched(kind)
+    discovery_port = 0
+
+    async def work() -> None:
+        nonlocal discovery_port
+        async with stage(OK, started=False) as scene:
+            discovery_port = int(scene.discovery.address.rpartition(":")[2])
+            await scene.sidecar.start()
+            assert (await scene.ask()).status == 200
+            inherited = listener.adopt(str(listener.bind((HOST, 0)).detach()))
+            scene.sidecar.frontend.stop_listening()
+            scene.sidecar.frontend.listen(inherited)
+            assert (await scene.ask()).status == 200
+            door = control.Control(scene.sidecar.calls())
+            door.listen((HOST, 0))
+            reader, writer = await asyncio.open_connection(HOST, door.port)
+            writer.write(b"readyz\n")
+            assert await soon(reader.read()) == b"+OK ready\n"
+            writer.close()
+            door.close()
+
+    play(work)
+    assert found == {each: {1} for each in ("ClientSide", "ClientConnection", "discovery", "_Caller")}
+
+
+async def _asked(accepted: socket.socket) -> bytes:
+    """The target of the next request on a connection that a test has accepted."""
+    raw = await soon(asyncio.get_running_loop().sock_recv(accepted, 16_384))
+    return raw.split(b" ")[1]
+
+
+def test_a_connection_that_comes_up_late_is_used_kept_and_counted() -> None:
+    async def work() -> None:
+        slow = SlowToAccept()
+        await slow.fill()
+        async with stage(bounds={"dialTimeoutUs": 15_000_000}) as scene:
+            pool = scene.sidecar._upstream
+            await until(lambda: len(scene.discovery.heard) >= 2)
+            scene.discovery.tell(line("s", slow.address))
+            await until(lambda: len(scene.discovery.heard) >= 3)
+            # Its deadline holds while the dial is under way, and no server had it.
+            hasty, patient = await scene.client(), await scene.client()
+            began = asyncio.get_running_loop().time()
+            hasty.send(request("lodge", timeout="0.3", target="/api/hasty"))
+            assert (await hasty.answer()).status in (503, 504)
+            assert 0.2 < asyncio.get_running_loop().time() - began < 0.8
+            assert (pool._dialling, len(pool._owners), scene.sidecar.open_requests) == (1, 0, 0)
+            # What came up for nothing is kept, and the next request, which dials as well, loses nothing.
+            patient.send(request("lodge", timeout="15", target="/api/patient"))
+            await until(lambda: pool._dialling == 2)
+            accepted = [await slow.let_go(), await slow.let_go()]
+            await until(lambda: pool._dialling == 0)
+            assert len(pool._owners) == 2
+            asked = [asyncio.ensure_future(_asked(each)) for each in accepted]
+            (used,), _ = await asyncio.wait(asked, return_when=asyncio.FIRST_COMPLETED)
+            assert used.result() == b"/api/patient"
+            accepted[asked.index(used)].send(OK)
+            assert (await patient.answer()).status == 200
+            # Either serves from here on, and none is opened beside them.
+            patient.send(request("lodge", timeout="15", target="/api/next"))
+            await until(lambda: len(scene.sidecar._open) == 1)
+            (waiting,) = [each for each in asked if each is not used]
+            again = asyncio.ensure_future(_asked(accepted[asked.index(used)]))
+            (used,), _ = await asyncio.wait((waiting, again), return_when=asyncio.FIRST_COMPLETED)
+            assert used.result() == b"/api/next"
+            accepted[asked.index(waiting) if used is waiting else 1 - asked.index(waiting)].send(OK)
+            assert (await patient.answer()).status == 200
+            assert (pool._dialling, len(pool._owners), scene.sidecar.open_requests) == (0, 2, 0)
+            scene.sidecar.close()
+            for each in accepted:
+                each.close()
+        slow.close()
+
+    play(work)
+
+
+def test_a_dial_that_takes_too_long_costs_its_request_only_time() -> None:
+    async def work() -> None:
+        slow = SlowToAccept()
+        await slow.fill()
+        other = await ScriptedServer(OK).start()
+        async with stage(bounds={"dialTimeoutUs": 400_000}) as scene:
+            pool = scene.sidecar._upstream
+            await until(lambda: len(scene.discovery.heard) >= 2)
+            scene.discovery.tell(line("s-slow", slow.address))
+            await until(lambda: len(scene.discovery.heard) >= 3)
+            client = await scene.client()
+            client.send(request("lodge", timeout="4"))
+            await until(lambda: pool._dialling == 1)
+            scene.discovery.tell(line("s-other", other.address))
+            assert (await client.answer()).status == 200
+            assert len(other.heard) == 1
+            assert float(other.heard[0].headers["request-timeout"]) < 3.7  # what was left of its time
+            assert (pool._dialling, len(pool._owners), scene.sidecar.open_requests) == (0, 1, 0)
+        slow.close()
+        other.stop()
+
+    play(work)
+
+
+_FLOODS = {
+    "requests": request("lodge", timeout="15") * 1_500,
+    "nonsense": b"\0" * 300_000,
+    "health": b"GET /_health HTTP/1.1\r\nHost: x\r\n\r\n" * 8_000,
+    "heads": b"GET /api HTTP/1.1\r\nHost: x\r\n" + b"X-Pad: 0123456789abcdef\r\n" * 12_000,
+    "a body's part": request("lodge", timeout="15", Content_Length="30000000") + bytes(300_000),
+}
+
+
+@pytest.mark.parametrize("what", _FLOODS)
+def test_clients_that_send_much_at_once_and_go_cost_others_nothing(what: str) -> None:
+    # Each sends as much as its system takes, without a pause, and leaves; some reset, some close.
+    async def work() -> None:
+        loop = asyncio.get_running_loop()
+
+        async def rush(number: int) -> None:
+            with socket.socket() as plain:
+                plain.setblocking(False)
+                await loop.sock_connect(plain, (HOST, scene.sidecar.frontend.port))
+                try:
+                    plain.send(_FLOODS[what])
+                except OSError:
+                    pass
+                if number % 2:
+                    plain.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+
+        async with stage(OK, OK, client_limits=_LIMITS) as scene:
+            steady = await scene.client()
+            before = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
+            for _ in range(10):
+                await asyncio.gather(*(rush(number) for number in range(30)))
+                assert (await steady.ask("lodge", timeout="2.0")).status == 200
+            frontend = scene.sidecar.frontend
+            await until(lambda: frontend.open_connections == 1)
+            await until(lambda: scene.sidecar.open_requests == 0)
+            assert frontend._held == 0
+            assert resource.getrusage(resource.RUSAGE_SELF).ru_maxrss - before < 30_000  # KiB
+
+    play(work)
+
+
+@pytest.mark.parametrize("after_s", [0.0, 0.002, 0.01])
+def test_a_request_in_the_instant_of_sigterm_is_answered_or_never_sent_on(
+    after_s: float, tmp_path: Path
+) -> None:
+    # Clients rest on their connections, and all of them send around the moment in which these are let go.
+    async def work() -> None:
+        async with program(OK, tmp_path) as running:
+            clients = [await running.client() for _ in range(60)]
+            for client in clients:
+                assert (await client.ask("lodge")).status == 200
+            before = len(running.server.heard)
+            running.process.send_signal(signal.SIGTERM)
+
+            async def ask(number: int) -> int:
+                await asyncio.sleep(after_s * number / len(clients))
+                again = request("lodge", Request_Id=f"again-{number}")
+                client = clients[number]
+                try:
+                    client.send(again)
+                    answer = await client.answer()
+                except (ConnectionError, asyncio.IncompleteReadError):
+                    # It crossed the close: once more, on a new connection, as the protocol has it.
+                    client = await running.client()
+                    client.send(again)
+                    answer = await client.answer()
+                client.close()
+                return answer.status
+
+            statuses = await asyncio.gather(*(ask(number) for number in range(len(clients))))
+            assert set(statuses) <= {200, 503}  # a crowd at one server: some may be refused
+            served = [f"again-{number}" for number, status in enumerate(statuses) if status == 200]
+            heard = [each.headers["request-id"] for each in running.server.heard[before:]]
+            assert served and sorted(heard) == sorted(served)  # none twice, and none for nobody
+            assert await soon(running.process.wait()) == 0
+
+    play(work)
