Read a first request that comes just as its connection's time is up

It now looks in both cases (`is_idle`).

Test: `test_a_first_request_in_the_instant_in_which_its_time_is_up_is_read` is red on the program before (`IncompleteReadError: 0 bytes read`); test_instants (65), test_frontend and test_program pass.

--- a/tests/test_instants.py
+++ b/tests/test_instants.py
@@ -170,6 +170,19 @@
     play(work)
 
 
+def test_a_first_request_in_the_instant_in_which_its_time_is_up_is_read() -> None:
+    async def work() -> None:
+        limits = ClientLimits(header_timeout_s=0.0, sweep_s=600.0)
+        async with stage(OK, client_limits=limits) as scene:
+            client = await scene.client()
+            await until(lambda: _states(scene) == [State.SILENT])
+            client.send(request("lodge"))  # it lies in the sidecar's socket, and the event loop has not run
+            scene.sidecar.frontend._close_overdue()
+            assert (await client.answer()).status == 200
+
+    play(work)
+
+
 def test_an_answer_that_its_client_takes_slowly_is_not_cut_off_while_it_is_the_last() -> None:
     # The time to linger begins when all is written; until then it counts that the client goes on reading.
     async def work() -> None:
--- a/tulipnotch/sidecar/frontend.py
+++ b/tulipnotch/sidecar/frontend.py
@@ -557,8 +557,7 @@
         now, limits = asyncio.get_running_loop().time(), self._limits
         leaving_s = limits.leaving_s if self.lifecycle.is_emptying else limits.idle_timeout_s
         for each in list(self._by_state[State.SILENT]):
-            waited = now - each.since
-            if waited >= limits.header_timeout_s or (waited >= leaving_s and each.is_idle):
+            if now - each.since >= min(limits.header_timeout_s, leaving_s) and each.is_idle:
                 each.close()
         for each in list(self._by_state[State.READING]):
             late = now - each.since >= limits.header_timeout_s
