Keep cold servers within their budget under the sum of all processes

Seen with benchmarks.cold: with all servers cold, 30 or 200 processes put more than N + 2 x root N + 2 on one (in a burst, in a fleet of 40, with heavy requests), and one heavy request could do so at any time.

Causes, all in _cold_room and _bearable_by_mean: with none warm the load asked was divided by the subset drawn from, though sends then go to all servers, and it counted what refused clients asked again; an allowance lay ripe for ever, so that a quiet stretch saved up a turn in each process; a request of any cost went as soon as a whole mean one might; and cost was relative to the first of its own class.

The arithmetic moves to decisions/slow_start.py: first allowances are phases by the server's start and the instance's number, evenly spread over the group; an unused turn lapses after four fall times; a request goes to a cold server only up to 1 + root(N)/4 means of work, N as the group's size and the own traffic tell it; work is relative to all requests before it. With none warm the load counts for all servers. An instance that is not told its number takes chance, not the first place.

--- a/benchmarks/cold.py
+++ b/benchmarks/cold.py
@@ -29,6 +29,7 @@
 _START_S, _LISTED_S = 5.0, 5.3  # when cold servers start, and when the list first says so
 _COLD_FROM, _MULTIPLE, _FALL_S = 0.15, 2.5, 1.0
 _CORES = {1: 1, 3: 2, 12: 4, 50: 8}  # by N at the start; the work of a request follows from both
+_LATE_BURST = [[0.0, 1.0], [_START_S - 1.0, 0.05], [_START_S + 5.0, 2.5]]
 _BURST = [[0.0, 1.0], [_START_S - 1.0, 0.1], [_START_S + 2.0, 2.0]]  # after a quiet stretch
 
 # What each case changes in a fleet of eight, three of which start cold under seven tenths of the load.
@@ -48,6 +49,7 @@
     "restart": {"restart": True},
     "burst": {"load": {"factors": _BURST}},
     "all cold, burst": {"part": 1.0, "load": {"factors": _BURST}},
+    "all cold, late burst": {"part": 1.0, "load": {"factors": _LATE_BURST}},
     "all cold, heavy": {"part": 1.0, "load": {"hints": True}, "work_cv": 2.0},
     "all cold, uneven": {"part": 1.0, "load": {"skew": 2.0}},
     "all cold, restart": {"part": 1.0, "restart": True},
--- /dev/null
+++ b/tests/test_slow_start.py
@@ -0,0 +1,139 @@
+"""Slow start: phases, turns that ripen and lapse, heavy requests.  Clocks are given, nothing waits."""
+
+from __future__ import annotations
+
+import itertools
+import math
+
+import pytest
+from helpers import MS, S, settings
+
+from tulipnotch.decisions import Settings, slow_start
+from tulipnotch.decisions.interface import Rules
+
+RULES = Rules(cold_from=0.2, cold_us=10 * S, fall_multiple=2.5, fall_us=1 * S)
+START = 1_700_000_000 * S
+
+
+def phases(size: int, started_at: int | None = START, name: str = "s-1") -> list[float]:
+    return sorted(slow_start.phase(name, started_at, me, size, 0.5) for me in range(size))
+
+
+@pytest.mark.parametrize("size", [2, 5, 30, 200])
+def test_phases_are_evenly_spread_over_the_group(size: int) -> None:
+    found = phases(size)
+    gaps = [b - a for a, b in itertools.pairwise(found)]
+    assert all(math.isclose(gap, 1.0 / size, rel_tol=1e-6) for gap in gaps)
+    assert 0.0 <= found[0] and found[-1] < 1.0
+
+
+def test_each_start_of_each_server_has_another_order() -> None:
+    first = slow_start.phase("s-1", START, 3, 30, 0.5)
+    again = slow_start.phase("s-1", START + 4 * S, 3, 30, 0.5)  # restarted
+    twice = slow_start.phase("s-1", START + 8 * S, 3, 30, 0.5)  # and once more
+    other = slow_start.phase("s-2", START, 3, 30, 0.5)
+    assert len({first, again, twice, other}) == 4
+    assert slow_start.phase("s-1", START, 3, 30, 0.9) == first  # nothing of chance in it
+
+
+@pytest.mark.parametrize(
+    ("started_at", "me", "size"), [(None, 3, 30), (START, -1, 30), (START, 30, 30), (START, 0, 1)]
+)
+def test_chance_takes_the_place_of_what_is_not_known(started_at: int | None, me: int, size: int) -> None:
+    assert slow_start.phase("s-1", started_at, me, size, 0.73) == 0.73
+
+
+def test_an_instance_that_is_not_told_its_number_does_not_take_the_first() -> None:
+    told = {"classes": [{"name": "look", "deadline_us": 1_000}], "group_size": 30}
+    assert Settings.from_mapping(told).me == -1
+    assert Settings.from_mapping({**told, "me": 0}).me == 0
+    assert settings().me == -1
+
+
+def test_warmth_rises_evenly_and_a_clock_that_is_behind_counts_as_the_start() -> None:
+    assert slow_start.warmth(RULES, None, START) == 1.0
+    assert slow_start.warmth(RULES, START, START - 200 * MS) == 0.2  # 200 ms behind the server's clock
+    assert slow_start.warmth(RULES, START, START) == 0.2
+    assert math.isclose(slow_start.warmth(RULES, START, START + 5 * S), 0.6)
+    assert slow_start.warmth(RULES, START, START + 10 * S) == 1.0
+
+
+def turns(begins_with: float, limit: float, asked_at: list[int]) -> list[int]:
+    """When requests of mean cost, asked for at these times, were let through."""
+    allowance = slow_start.Allowance(0, begins_with)
+    through = []
+    for at in asked_at:
+        if allowance.has_room(at, limit, 1 * S, 1.0):
+            allowance.spend(1.0)
+            through.append(at)
+    return through
+
+
+@pytest.mark.parametrize("apart", [0, 200 * MS])
+def test_the_turns_of_all_ripen_one_after_another(apart: int) -> None:
+    # Thirty instances, each asking all the time: together a quarter of N = 8 in each second, never a burst.
+    # Their clocks may be apart, every other one behind.
+    limit = 8.0 / S / 30
+    asked = list(range(0, 20 * S, 50 * MS))
+    through = sorted(
+        at + apart * (me % 2)
+        for me in range(30)
+        for at in turns(slow_start.phase("s-1", START, me, 30, 0.5), limit, asked)
+    )
+    most = max(sum(1 for at in through if since <= at < since + 1 * S) for since in through)
+    assert len(through) == pytest.approx(0.25 * 8 * 20, abs=2)
+    assert most <= 4
+
+
+def test_a_turn_that_is_not_used_lapses() -> None:
+    limit = 0.2 / S  # a turn fills in 20 s, and stays open for 4
+    assert turns(0.0, limit, [19 * S]) == []
+    assert turns(0.0, limit, [21 * S]) == [21 * S]
+    assert turns(0.0, limit, [25 * S]) == []  # it lapsed at 24 s
+    assert turns(0.0, limit, [25 * S, 41 * S]) == [41 * S]  # the next is open, as if the first had been used
+    assert turns(0.0, limit, [23 * S, 41 * S, 43 * S + 1]) == [
+        23 * S,
+        43 * S + 1,
+    ]  # it fills anew from its use
+    assert turns(0.0, limit, [10_000 * S + 1]) == [10_000 * S + 1]  # the 500th
+    assert turns(0.0, limit, [10_005 * S]) == []
+    assert turns(0.0, 0.0, [10_000 * S]) == []
+
+
+def test_after_a_quiet_stretch_no_more_than_one_budget_is_open() -> None:
+    # Two hundred instances ask nothing for 60 s, then all at once; N is 3.
+    limit = 3.0 / S / 200
+    open_at_once = sum(
+        len(turns(slow_start.phase("s-1", START, me, 200, 0.5), limit, [60 * S])) for me in range(200)
+    )
+    assert 1 <= open_at_once <= 4
+
+
+def test_a_busy_instance_has_always_a_turn() -> None:
+    assert turns(0.0, 8.0 / S, [60 * S, 60 * S, 61 * S]) == [60 * S, 61 * S]
+
+
+def test_a_heavy_request_is_paid_back_before_the_next() -> None:
+    allowance = slow_start.Allowance(0, 1.0)
+    assert allowance.has_room(0, 1.0 / S, 1 * S, 1.5)
+    allowance.spend(1.5)
+    assert not allowance.has_room(5 * S, 1.0 / S, 1 * S, 1.0)
+    assert allowance.has_room(6 * S + 1, 1.0 / S, 1 * S, 1.0)
+
+
+def test_the_heaviest_request_grows_with_the_budget_far_slower_than_it() -> None:
+    assert slow_start.heaviest(0.0) == 1.0
+    for budget in (1.0, 3.0, 12.0, 50.0):
+        chance = 2.0 * math.sqrt(budget) + 2.0
+        assert 1.0 < slow_start.heaviest(budget) < chance / 2
+
+
+def test_work_is_relative_to_the_mean_of_all_before_it() -> None:
+    mean = slow_start.MeanWork()
+    assert mean.relative(None, 10_000.0) == 1.0 and mean.relative(0, 10_000.0) == 1.0  # no hint
+    assert mean.relative(400_000, 10_000.0) == 40.0  # the first is compared with what is likely
+    for _ in range(200):
+        mean.relative(10_000, 10_000.0)
+    assert mean.relative(10_000, 0.0) == pytest.approx(1.0, rel=0.1)
+    again = [mean.relative(400_000, 0.0) for _ in range(4)]  # refused, and asked for again
+    assert min(again) > 30.0
--- a/tulipnotch/decisions/balancer.py
+++ b/tulipnotch/decisions/balancer.py
@@ -13,6 +13,7 @@
 import math
 import random
 
+from tulipnotch.decisions import slow_start
 from tulipnotch.decisions.interface import (
     NEVER,
     Action,
@@ -53,9 +54,7 @@
 REACH = 4.0  # a balancer at rest draws from this many servers: a choice, yet few enough to know them
 REACH_PER_BUSY = 1.0  # and from one more for each request in flight: as many again may be empty
 TICKS_EARLY = 2  # a final answer leaves this many ticks before the client's time is up
-COLD_SHARE = 0.25  # part of the pushing-over load that a cold server's budget fills at
 BORNE_FADES = 0.5  # what a warm server bore fades e-fold in this part of the time to warm up
-COLD_BURST = 0.18  # part of that load that may come at once
 RATE_SPANS = 2.0  # rates are averaged over this many fall times
 ASK_AGAIN = 0.05  # first wait before asking discovery again, of the time allowed without asking
 ASK_AGAIN_MOST = 0.25  # and the longest: three failed calls in a row still fit
@@ -128,7 +127,6 @@
 
     __slots__ = (
         "allowance",
-        "allowance_at",
         "cell",
         "cold_since",
         "ejected_until",
@@ -161,8 +159,7 @@
         self.state = ServerState.GONE
         self.started_at: int | None = None
         self.cold_since: int | None = None
-        self.allowance = 0.0  # of a cold server: what may be sent to it now, in requests of mean cost
-        self.allowance_at = 0
+        self.allowance: slow_start.Allowance | None = None  # of a cold server
         self.in_flight = 0
         self.ghosts: list[int] = []  # when each attempt given up on stops counting
         self.lines = 0  # connections that are open, as far as attempts tell
@@ -238,6 +235,7 @@
         "said_full",
         "size",
         "tried",
+        "work",
     )
 
     def __init__(self, ident: int, kind: ServiceClass, cost: float) -> None:
@@ -246,6 +244,7 @@
         self.coming = True  # whether its last byte has not come yet, so that its time does not run
         self.kind = kind
         self.cost = cost  # relative to the mean of its class
+        self.work = cost  # relative to the mean of all
         self.size = max(-3, min(math.frexp(cost)[1], 4))  # cost by powers of two
         self.attempts: list[Attempt] = []
         self.tried: list[Server] = []  # servers that failed this request, full ones included
@@ -290,11 +289,13 @@
         self._remote_at = -1
         self._far_part = 0.0  # part of the ready servers that are in other zones
         self._bearable = 0.0  # what a warm server of mean size bore for this balancer, as of _bearable_at
+        self._known_part = 1.0  # of the servers that bore it, those that this balancer sends to
         self._mean_size = 1.0
         self._bearable_at = -1
         self._answers = 0  # answers so far, from all servers
         self._extra = EXTRA_PER_REQUEST * EXTRA_SAVED / 2
         self._mean_cost: dict[str, float] = {}
+        self._work = slow_start.MeanWork()
         self._arrivals = Rate(RATE_SPANS * settings.rules.fall_us)
         self._served_warm = Rate(RATE_SPANS * settings.rules.fall_us)
         self._norms: dict[tuple[str, int], float] = {}  # usual time of a class and size, over all servers
@@ -496,6 +497,7 @@
         self._arrivals.add(self._now, 1.0)
         self._extra = min(self._extra + EXTRA_PER_REQUEST, EXTRA_PER_REQUEST * EXTRA_SAVED)
         request = Request(event.request, kind, self._relative_cost(kind, event.cost_us))
+        request.work = self._work.relative(event.cost_us, UNSEEN_AIMS * kind.aim_us)
         self._requests[event.request] = request
         if not event.coming:
             self._begin_time(request, event.remaining_us)
@@ -841,7 +843,7 @@
                 return False
             if any(each.pending and each.server is server for each in request.attempts):
                 return False  # a second copy goes elsewhere
-        return server.cold_since is None or self._cold_room(server, request.cost)
+        return server.cold_since is None or self._cold_room(server, request.work)
 
     # -----------------------------------------------------------------------------------------------
     # The send gate
@@ -859,10 +861,10 @@
             return False  # rule 2
         if server.state is not ServerState.READY:
             return False  # rule 3: at once on hearing, without use of the grace
-        if not self._cold_room(server, request.cost):
+        if not self._cold_room(server, request.work):
             return False  # rule 4
-        if self._is_cold(server):
-            server.allowance -= request.cost
+        if server.allowance is not None and self._is_cold(server):
+            server.allowance.spend(request.work)
         attempt = Attempt(len(request.attempts), server, self._now, self._answers)
         attempt.idled = self._idle_time(server)
         request.attempts.append(attempt)
@@ -1196,7 +1198,7 @@
         for server in self._ejected:
             waited = server.ejected_until is not None and self._now >= server.ejected_until
             if waited and server.state is ServerState.READY and server.trial is None:
-                if self._cold_room(server, request.cost):
+                if self._cold_room(server, request.work):
                     return server
         return None
 
@@ -1205,38 +1207,35 @@
 
     def _turned_cold(self, server: Server, since: int) -> None:
         server.cold_since = since
-        server.allowance = self._random.random()  # from none, all balancers would fall due together, late
-        server.allowance_at = self._now
+        started_at = since if since == server.started_at else None
+        me, size = self._settings.me, self._settings.group_size
+        begins_with = slow_start.phase(server.name, started_at, me, size, self._random.random())
+        server.allowance = slow_start.Allowance(self._now, begins_with)
 
     def _is_cold(self, server: Server) -> bool:
         return server.cold_since is not None and self._now < server.cold_since + self._settings.rules.cold_us
 
     def _warmth(self, server: Server) -> float:
-        """The least share of its capacity that the server has by now."""
-        rules = self._settings.rules
-        if server.cold_since is None or not self._is_cold(server):
-            return 1.0
-        age = max(self._now - server.cold_since, 0)
-        return rules.cold_from + (1.0 - rules.cold_from) * age / rules.cold_us
+        return slow_start.warmth(self._settings.rules, server.cold_since, self._now)
 
-    def _cold_room(self, server: Server, cost: float) -> bool:
-        """Whether a cold server's budget has room for a request of this cost.
+    def _cold_room(self, server: Server, work: float) -> bool:
+        """Whether a cold server's budget has room for a request of this much work, in means.
 
         Guards rule 4.  The budget fills with a part of what would push the server over, judged by what this
         balancer's warm servers serve for it; all balancers doing so stay under the whole.
         """
-        if not self._is_cold(server):
+        if server.allowance is None or not self._is_cold(server):
             return True
         rules = self._settings.rules
         bearable = self._bearable_by_mean()
         if self._mean_size > 0.0:
             bearable *= min(server.nominal / self._mean_size, 1.0)
         limit = rules.fall_multiple * self._warmth(server) * bearable
-        most = max(1.0, COLD_BURST * limit * rules.fall_us)
-        filled = COLD_SHARE * limit * max(self._now - server.allowance_at, 0)
-        server.allowance = min(server.allowance + filled, most)
-        server.allowance_at = self._now
-        return server.allowance >= min(cost, most)
+        # What all instances may put on it, were all like this one.
+        of_all = limit * rules.fall_us * self._settings.group_size * self._known_part
+        if work > slow_start.heaviest(of_all):
+            return False
+        return server.allowance.has_room(self._now, limit, rules.fall_us, work)
 
     def _bearable_by_mean(self) -> float:
         """What a warm server has lately served for this balancer; worked out once for each instant.
@@ -1250,8 +1249,13 @@
             self._bearable_at = self._now
             warm = [each for each in self._ready if not self._is_cold(each)]
             peers = warm or self._ready  # ejected ones too: they served a part of what is counted
-            served = self._served_warm if warm else self._arrivals
-            now = served.per_us(self._now) / max(min(len(peers), self._reach()), 1)
+            if warm:
+                sent_to = min(len(warm), self._reach())
+                now = self._served_warm.per_us(self._now) / max(sent_to, 1)
+            else:  # sends go wherever there is room, and so to all
+                sent_to = len(peers)
+                now = self._arrivals.per_us(self._now) / (slow_start.REPEATED * max(sent_to, 1))
+            self._known_part = sent_to / max(len(peers), 1)
             self._bearable = max(now, self._bearable * faded)
             self._mean_size = sum(each.nominal for each in peers) / max(len(peers), 1)
         return self._bearable
--- a/tulipnotch/decisions/interface.py
+++ b/tulipnotch/decisions/interface.py
@@ -208,7 +208,7 @@
     classes: tuple[ServiceClass, ...]
     tenants: tuple[Tenant, ...] = ()
     zone: str = ""
-    me: int = 0
+    me: int = -1  # this instance's number in the group, from 0; -1: not told
     group_size: int = 1
     tick_us: int = 1_000
     discovery: Discovery = Discovery.ON_REQUEST
@@ -249,7 +249,7 @@
             classes=classes,
             tenants=tenants,
             zone=top.text("zone", ""),
-            me=top.whole("me", 0),
+            me=top.whole("me", -1),
             group_size=top.whole("group_size", 1, low=1),
             tick_us=top.whole("tick_us", 1_000, low=1),
             discovery=top.choice("discovery", Discovery, Discovery.ON_REQUEST),
