Name the decisions' words by the terms of the field

reach -> subset, odds of a draw -> weights (the odds that an idle connection is dead are odds, and stay), pace of a server -> latency ratio, shy -> backing off, ghosts -> abandoned attempts, _state_heard and _full_heard -> _state_received and _full_received, strikes -> consecutive failures.

--- a/tests/test_draw.py
+++ b/tests/test_draw.py
@@ -439,9 +439,9 @@
         request = stage.request()
         server = stage.balancer._servers[stage.target(request)]
         stage.wait(2 * taking_us)
-        before = server.pace
+        before = server.latency_ratio
         stage.end(request)
-        return server.pace - before
+        return server.latency_ratio - before
 
     assert change(400 * MS, 60 * MS, True) > 2 * change(5 * MS, 60 * MS, False) > 0.0
 
--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -155,7 +155,7 @@
             stage.end(request, Outcome.FULL)
     balancer = stage.balancer
     kept = [kind for kind, _ in balancer._mix] + [kind for kind, _ in balancer._norms]
-    kept += [kind for server in balancer._servers.values() for kind in server.shy]
+    kept += [kind for server in balancer._servers.values() for kind in server.backing_off]
     assert set(kept) <= {"look-19"}
 
 
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -33,7 +33,7 @@
     stage.wait(20 * S)
     balancer = stage.balancer
     assert len(balancer._servers) == 5
-    assert len(balancer._requests) == len(balancer._ghosts) == 0
+    assert len(balancer._requests) == len(balancer._abandoned) == 0
     assert len(balancer._agenda) <= 2
     assert all(each.state is ServerState.READY for each in balancer._ejected)
 
--- a/tulipnotch/decisions/balancer.py
+++ b/tulipnotch/decisions/balancer.py
@@ -51,32 +51,32 @@
 # Constants: ratios of what the settings give or of what was observed
 
 DRAWN = 4  # k: counts are mostly small here, where two looks find too little
-REACH = 4.0  # a balancer at rest draws from this many servers: a choice, yet few enough to know them
-REACH_PER_BUSY = 1.0  # and from one more for each request in flight: as many again may be empty
+SUBSET = 4.0  # a balancer at rest draws from this many servers: a choice, yet few enough to know them
+SUBSET_PER_BUSY = 1.0  # and from one more for each request in flight: as many again may be empty
 TICKS_EARLY = 2  # a final answer leaves this many ticks before the client's time is up
 BORNE_FADES = 0.5  # what a warm server bore fades e-fold in this part of the time to warm up
 RATE_SPANS = 2.0  # rates are averaged over this many fall times
 ASK_AGAIN = 0.05  # first wait before asking discovery again, of the time allowed without asking
 ASK_AGAIN_MOST = 0.25  # and the longest: three failed calls in a row still fit
-REMOTE_LEAST = 0.25  # odds of a server in another zone while the own zone is as quick
-REMOTE_EVEN = 0.3  # the own zone this far behind the others' pace, all zones are drawn alike
+REMOTE_LEAST = 0.25  # weight of a server in another zone while the own zone is as quick
+REMOTE_EVEN = 0.3  # the own zone this far behind the others by latency ratio, all zones are drawn alike
 REMOTE_SPENT = 0.12  # or the typical answer at twice this part of its aim
 REMOTE_LATE = 0.05  # or this part of the answers comes late
 FAR_SLOWER = 2.0  # until then, of servers as busy, one in another zone counts as this much slower
 EXTRA_PER_REQUEST = 0.2  # further attempts after failures, for each first attempt: no retry storms
 EXTRA_SAVED = 50.0  # first attempts whose allowance may be saved up
-SPOILT_STRIKES = (
+CONSECUTIVE_SPOILT = (
     6  # spoilt answers in a row, none good between, that eject: below that it was the way, not it
 )
-STRIKES_DROPPED = 3  # or so many that end in a broken connection, which may be the way's fault
-STRIKES = 2  # failures in a row, none answered between, that eject a server
+CONSECUTIVE_DROPPED = 3  # or so many that end in a broken connection, which may be the way's fault
+CONSECUTIVE_FAILURES = 2  # failures in a row, none answered between, that eject a server
 EJECT_AIMS = 2.0  # first ejection lasts this many of the longest aim; it doubles with each failed trial
 EJECT_AIMS_MOST = 16.0  # and never lasts longer: a server that came back is found again
 SILENT_MOST = 0.34  # no more than this share is ejected for silence alone: more is overload, not sickness
 EJECTED_MOST = 0.6  # never more than this share of the list is ejected: the rest would drown
-SHY_AIMS = 0.5  # a class keeps off a server for so many of the longest aim after a full answer
-SHY_AIMS_MOST = 4.0  # and for twice as long at each further one in a row, up to this
-PATIENCE = 2.5  # usual times (at this server's pace) after which an attempt is overdue
+BACK_OFF_AIMS = 0.5  # a class keeps off a server for so many of the longest aim after a full answer
+BACK_OFF_AIMS_MOST = 4.0  # and for twice as long at each further one in a row, up to this
+PATIENCE = 2.5  # usual times (at this server's latency ratio) after which an attempt is overdue
 PATIENCE_AIMS = 0.1  # but never less than this part of the aim: short times are all jitter
 GREETING_AIMS = 0.5  # or this on a new connection, which begins with a handshake
 QUIET_PEERS = 4  # answers from others, since the overdue attempt left, that make its server's silence its own
@@ -87,10 +87,10 @@
 STALE_STEP_BACK = 0.3  # an answer on one speaks against it, but some servers may keep theirs
 STALE_AIMS = 16.0  # what was learnt of idle connections fades in this many of the longest aim
 STALE_ODDS = 0.25  # from these odds on, idle connections are not relied on
-GHOST_LIFE = 0.3  # an attempt given up on counts as in flight for this part of its wait more
-HEAVY_POWER = 3.0  # of pace, in the odds for a request of four times the mean cost or more
-PACE_STEP = 0.1  # a server's pace follows its last ten answers or so, or fewer where few are in flight
-PACE_CLIP = 4.0  # one answer counts for at most this many usual ones: heavy requests say little of a server
+ABANDONED_LIFE = 0.3  # an attempt given up on counts as in flight for this part of its wait more
+HEAVY_POWER = 3.0  # of its latency ratio, in the weight for a request of four times the mean cost or more
+RATIO_STEP = 0.1  # a latency ratio follows a server's last ten answers or so, fewer where few are in flight
+RATIO_CLIP = 4.0  # one answer counts for at most this many usual ones: heavy requests say little of a server
 NORM_STEP = 0.02  # the usual time and cost of a class follow its last fifty requests or so
 UNSEEN_AIMS = 0.3  # the usual time before any answer, in aims
 AIM_SPENT = 0.15  # the typical answer may take this part of its aim; beyond that the fleet is overloaded
@@ -126,25 +126,25 @@
     """What this balancer knows of one server."""
 
     __slots__ = (
+        "abandoned",
         "allowance",
+        "backing_off",
         "cell",
         "cold_since",
+        "consecutive_failures",
         "ejected_until",
         "ejections",
-        "ghosts",
         "idle_since",
         "in_flight",
         "last_answer_at",
+        "latency_ratio",
         "lines",
         "name",
         "nominal",
-        "pace",
         "place",
-        "shy",
         "spoilt",
         "started_at",
         "state",
-        "strikes",
         "trial",
         "zone",
     )
@@ -155,25 +155,25 @@
         self.zone = ""
         self.cell = 0
         self.nominal = 1.0
-        self.pace = 1.0  # how long it takes, relative to the usual
+        self.latency_ratio = 1.0  # how long it takes, relative to the usual
         self.state = ServerState.GONE
         self.started_at: int | None = None
         self.cold_since: int | None = None
         self.allowance: slow_start.Allowance | None = None  # of a cold server
         self.in_flight = 0
-        self.ghosts: list[int] = []  # when each attempt given up on stops counting
+        self.abandoned: list[int] = []  # when each attempt given up on stops counting
         self.lines = 0  # connections that are open, as far as attempts tell
         self.idle_since: int | None = None  # when a connection was last used; None: there is none to reuse
         self.last_answer_at = -1
-        self.shy: dict[str, Shy] = {}  # by class that it was full for
-        self.strikes = 0
+        self.backing_off: dict[str, BackOff] = {}  # by class that it was full for
+        self.consecutive_failures = 0
         self.spoilt = 0  # spoilt answers in a row
         self.ejections = 0
         self.ejected_until: int | None = None  # None: not ejected
         self.trial: Attempt | None = None  # the single attempt that may bring it back
 
 
-class Shy:
+class BackOff:
     """A server's full answers to one class: it is kept off until then, for so many aims."""
 
     __slots__ = ("aims", "until")
@@ -280,12 +280,12 @@
         self._ask_due: int | None = None  # when discovery is asked next; None while the list is followed
         self._pending = 0  # attempts out
         self._stuck = 0  # of these, at ejected servers
-        self._ghosts: list[int] = []  # when each attempt given up on stops counting, soonest first
+        self._abandoned: list[int] = []  # when each attempt given up on stops counting, soonest first
         self._ejected: list[Server] = []
         self._stale = 0.0  # odds that an idle connection is dead, as of _stale_at
         self._stale_at = 0
         self._stale_idle = 0  # the shortest idle time at which one was
-        self._remote = 1.0  # odds of a server in another zone, as of _remote_at
+        self._remote = 1.0  # weight of a server in another zone, as of _remote_at
         self._remote_at = -1
         self._far_part = 0.0  # part of the ready servers that are in other zones
         self._bearable = 0.0  # what a warm server of mean size bore for this balancer, as of _bearable_at
@@ -337,7 +337,7 @@
         self._norms = {key: usual for key, usual in self._norms.items() if key[0] in self._classes}
         self._mean_cost = {name: mean for name, mean in self._mean_cost.items() if name in self._classes}
         for server in self._servers.values():
-            server.shy = {name: shy for name, shy in server.shy.items() if name in self._classes}
+            server.backing_off = {n: each for n, each in server.backing_off.items() if n in self._classes}
 
     def handle(self, now: int, event: Event) -> list[Action]:
         """Take one event at clock time `now`; return what to do, in order."""
@@ -423,7 +423,7 @@
             listed = {line.server for line in event.servers}
             for server in self._servers.values():
                 if server.name not in listed:
-                    self._state_heard(server, ServerState.GONE)
+                    self._state_received(server, ServerState.GONE)
         for line in event.servers:
             self._server_listed(line)
         for server in [each for each in self._servers.values() if each.state is ServerState.GONE]:
@@ -437,8 +437,8 @@
             self._window = max(START_WINDOW * len(self._ready) / self._settings.group_size, MANY)
         mean_size = sum(each.nominal for each in self._ready) / max(len(self._ready), 1)
         for server in self._ready:
-            if server.pace <= 0.0:  # until answers tell, a server is as quick as its nominal size
-                server.pace = mean_size / server.nominal if server.nominal > 0.0 else 1.0
+            if server.latency_ratio <= 0.0:  # until answers tell, a server is as quick as its nominal size
+                server.latency_ratio = mean_size / server.nominal if server.nominal > 0.0 else 1.0
 
     def _server_listed(self, line: ListedServer) -> None:
         server = self._servers.get(line.server)
@@ -447,9 +447,9 @@
         server.zone = line.zone
         server.cell = line.cell
         if server.state is ServerState.GONE or line.nominal != server.nominal:
-            server.pace = 0.0  # to be set by its nominal size
+            server.latency_ratio = 0.0  # to be set by its nominal size
         server.nominal = max(line.nominal, 0.0)
-        self._state_heard(server, line.state)
+        self._state_received(server, line.state)
         if line.started_at is not None and line.started_at != server.started_at:
             server.started_at = line.started_at
             server.lines = server.in_flight  # those to the process before are closed
@@ -469,9 +469,9 @@
             if server in self._ejected:
                 self._ejected.remove(server)
 
-    def _state_heard(self, server: Server, state: ServerState) -> None:
-        heard, server.state = server.state is not state, state
-        if heard:
+    def _state_received(self, server: Server, state: ServerState) -> None:
+        changed, server.state = server.state is not state, state
+        if changed:
             self._close_if_leaving(server)
 
     def _close_if_leaving(self, server: Server) -> None:
@@ -618,9 +618,9 @@
 
         Running counts, not a sum over the list: it is asked for at every event.
         """
-        while self._ghosts and self._ghosts[0] <= self._now:
-            heapq.heappop(self._ghosts)
-        return self._pending - self._stuck + len(self._ghosts)
+        while self._abandoned and self._abandoned[0] <= self._now:
+            heapq.heappop(self._abandoned)
+        return self._pending - self._stuck + len(self._abandoned)
 
     def _fill(self) -> float:
         """How much of the window is taken.
@@ -708,108 +708,109 @@
         trial = self._trial_due(request)
         if trial is not None:
             return trial
-        pool = self._within_reach(request)
+        pool = self._subset(request)
         if not pool:
             return None
-        remote = self._remote_odds()
+        remote = self._remote_weight()
         power = min(max(1.0, float(request.size)), HEAVY_POWER)
-        odds = [
-            self._odds(each, power) * (1.0 if each.zone == self._settings.zone else remote) for each in pool
+        weights = [
+            self._weight(each, power) * (1.0 if each.zone == self._settings.zone else remote) for each in pool
         ]
         best: Server | None = None
         best_rank = (0, 0.0)
         # Not always, or nothing would be learnt of the others.
         far = FAR_SLOWER if remote < 1.0 and self._random.random() >= remote * remote else 1.0
-        for server in self._drawn(pool, odds, DRAWN << request.said_full):
-            rank = (self._busy(server), server.pace * (1.0 if server.zone == self._settings.zone else far))
+        for server in self._drawn(pool, weights, DRAWN << request.said_full):
+            slower = 1.0 if server.zone == self._settings.zone else far
+            rank = (self._busy(server), server.latency_ratio * slower)
             if best is None or rank < best_rank:
                 best, best_rank = server, rank
         return best
 
-    def _within_reach(self, request: Request) -> list[Server]:
+    def _subset(self, request: Request) -> list[Server]:
         """The first eligible servers in this balancer's own order, as many as its traffic can know.
 
         Guards against a large fleet seen from many small balancers: each would hold a connection to each
         server, more than servers accept, and learn next to nothing of any.  A busy balancer reaches all.
         """
-        reach = self._reach()
-        slots = {True: reach, False: reach}  # for servers of the own zone, and for others
+        size = self._subset_size()
+        slots = {True: size, False: size}  # for servers of the own zone, and for others
         if self._settings.prices.cross_zone > 0.0:
-            slots[False] = max(round(reach * self._remote_odds() * self._far_part), 1)
-            slots[True] = reach - slots[False]
+            slots[False] = max(round(size * self._remote_weight() * self._far_part), 1)
+            slots[True] = size - slots[False]
         pool: list[Server] = []
         spare: list[Server] = []
-        shy: list[Server] = []
+        backing_off: list[Server] = []
         for each in self._ready:
             if self._eligible(each, request):
-                if self._is_shy(each, request.kind.name):
-                    shy.append(each)
+                if self._is_backing_off(each, request.kind.name):
+                    backing_off.append(each)
                     continue
                 near = each.zone == self._settings.zone
                 slots[near] -= 1
                 (pool if slots[near] >= 0 else spare).append(each)
-                if len(pool) >= reach:
+                if len(pool) >= size:
                     break
-        pool += spare[: reach - len(pool)]
-        pool = pool or shy[:reach]
+        pool += spare[: size - len(pool)]
+        pool = pool or backing_off[:size]
         return pool
 
-    def _is_shy(self, server: Server, kind: str) -> bool:
-        shy = server.shy.get(kind)
-        return shy is not None and self._now < shy.until
+    def _is_backing_off(self, server: Server, kind: str) -> bool:
+        back_off = server.backing_off.get(kind)
+        return back_off is not None and self._now < back_off.until
 
-    def _full_heard(self, server: Server, kind: str) -> None:
+    def _full_received(self, server: Server, kind: str) -> None:
         """Keep a class off a server that was full for it.
 
         Guards against servers that turn away one class or tenant while they have room: fleet and server are
         well, only this traffic is unwelcome there.  Also spares redraws where servers turn away early.  It
         gives way where nothing else is left.
         """
-        shy = server.shy.setdefault(kind, Shy())
-        shy.aims = min(2.0 * shy.aims, SHY_AIMS_MOST) if shy.aims else SHY_AIMS
-        shy.until = self._after_about(shy.aims)
+        back_off = server.backing_off.setdefault(kind, BackOff())
+        back_off.aims = min(2.0 * back_off.aims, BACK_OFF_AIMS_MOST) if back_off.aims else BACK_OFF_AIMS
+        back_off.until = self._after_about(back_off.aims)
 
-    def _reach(self) -> int:
-        return int(REACH + REACH_PER_BUSY * self._mean_load)
+    def _subset_size(self) -> int:
+        return int(SUBSET + SUBSET_PER_BUSY * self._mean_load)
 
     def _busy(self, server: Server) -> int:
         """Own requests in flight at a server, with those given up on: they may well run on there.
 
         Guards against a slow or hung server that looks empty because its attempts were called off.
         """
-        if server.ghosts:
-            server.ghosts = [until for until in server.ghosts if until > self._now]
-        return server.in_flight + len(server.ghosts)
+        if server.abandoned:
+            server.abandoned = [until for until in server.abandoned if until > self._now]
+        return server.in_flight + len(server.abandoned)
 
-    def _drawn(self, pool: list[Server], odds: list[float], count: int) -> list[Server]:
-        """Draw distinct servers by their odds; the order is random too, so the first of equals is chance."""
+    def _drawn(self, pool: list[Server], weights: list[float], count: int) -> list[Server]:
+        """Draw distinct servers by weight; the order is random too, so the first of equals is chance."""
         drawn = []
         left = list(range(len(pool)))
-        total = sum(odds)
+        total = sum(weights)
         for _ in range(min(count, len(pool))):
             point = self._random.random() * total
             at = 0
-            while at < len(left) - 1 and point >= odds[left[at]]:
-                point -= odds[left[at]]
+            while at < len(left) - 1 and point >= weights[left[at]]:
+                point -= weights[left[at]]
                 at += 1
             index = left.pop(at)
-            total -= odds[index]
+            total -= weights[index]
             drawn.append(pool[index])
         return drawn
 
-    def _odds(self, server: Server, power: float) -> float:
+    def _weight(self, server: Server, power: float) -> float:
         """Slower servers are drawn less: with few requests most counters are zero, and the draw decides.
 
         Still less for heavy requests, which only quick servers can answer in time.
         """
-        pace = math.pow(max(server.pace, 1.0 / PACE_CLIP), power)
-        return 1.0 / pace if server.cold_since is None else self._warmth(server) / pace
+        slowness = math.pow(max(server.latency_ratio, 1.0 / RATIO_CLIP), power)
+        return 1.0 / slowness if server.cold_since is None else self._warmth(server) / slowness
 
-    def _remote_odds(self) -> float:
+    def _remote_weight(self) -> float:
         """Servers of other zones are drawn less while the own zone is as quick as theirs.
 
-        Spares crossings without the trap of a zone that has more traffic than servers: as the own zone's pace
-        falls behind, or answers come late anywhere, the odds even out.
+        Spares crossings without the trap of a zone that has more traffic than servers: as the own zone
+        falls behind, or answers come late anywhere, the weights even out.
         """
         if self._remote_at != self._now:
             self._remote_at, self._remote = self._now, self._weigh_zones()
@@ -824,10 +825,10 @@
             if each.ejected_until is not None:
                 continue
             if each.zone == self._settings.zone:
-                near += each.pace
+                near += each.latency_ratio
                 near_count += 1
             else:
-                far += each.pace
+                far += each.latency_ratio
                 far_count += 1
         if not near_count or not far_count or far <= 0.0:
             return 1.0
@@ -977,19 +978,19 @@
         if event.report and "util" in event.report:
             self._follow_cores(min(max(event.report["util"], 0.0), 1.0))
         if waited:
-            until = self._now + int(GHOST_LIFE * event.elapsed_us)
-            attempt.server.ghosts.append(until)
+            until = self._now + int(ABANDONED_LIFE * event.elapsed_us)
+            attempt.server.abandoned.append(until)
             if attempt.server.ejected_until is None:
-                heapq.heappush(self._ghosts, until)
-            if event.elapsed_us > self._usual(request) * attempt.server.pace:
-                self._pace(attempt.server, request, event.elapsed_us)
+                heapq.heappush(self._abandoned, until)
+            if event.elapsed_us > self._usual(request) * attempt.server.latency_ratio:
+                self._follow_latency_ratio(attempt.server, request, event.elapsed_us)
         if event.outcome is Outcome.ERROR:
             # A quick error must not look like a quick server: it counts as the slowest answer there is.
-            self._pace(attempt.server, request, int(PACE_CLIP * self._usual(request)))
+            self._follow_latency_ratio(attempt.server, request, int(RATIO_CLIP * self._usual(request)))
         if event.outcome is Outcome.FULL:
-            self._full_heard(attempt.server, request.kind.name)
+            self._full_received(attempt.server, request.kind.name)
         if event.outcome is Outcome.DELIVERED:
-            attempt.server.shy.pop(request.kind.name, None)
+            attempt.server.backing_off.pop(request.kind.name, None)
             self._served_aims.add(self._now, request.kind.aim_us)
             # Guards against taking handshakes for load: after a start, or when servers are replaced, most
             # connections are new, and each first answer comes as late as an overloaded server's.  What is
@@ -1020,27 +1021,27 @@
         self._forget_if_gone(attempt.server)
 
     # -----------------------------------------------------------------------------------------------
-    # Pace: how long a server takes, relative to the usual for such requests
+    # Latency ratio: how long a server takes, relative to the usual for such requests
 
     def _usual(self, request: Request) -> float:
         """The usual time of such a request, over all servers."""
         return self._norms.get((request.kind.name, request.size), UNSEEN_AIMS * request.kind.aim_us)
 
-    def _pace(self, server: Server, request: Request, elapsed_us: int) -> None:
-        ratio = min(elapsed_us / max(self._usual(request), 1.0), PACE_CLIP)
-        server.pace += PACE_STEP * self._stretch() * (ratio - server.pace)
+    def _follow_latency_ratio(self, server: Server, request: Request, elapsed_us: int) -> None:
+        ratio = min(elapsed_us / max(self._usual(request), 1.0), RATIO_CLIP)
+        server.latency_ratio += RATIO_STEP * self._stretch() * (ratio - server.latency_ratio)
 
     def _time(self, server: Server, request: Request, elapsed_us: int) -> None:
         kind = (request.kind.name, request.size)
         usual = self._norms.setdefault(kind, float(elapsed_us))  # the first answer of its kind is usual
-        self._pace(server, request, elapsed_us)
+        self._follow_latency_ratio(server, request, elapsed_us)
         self._norms[kind] = usual + NORM_STEP * (elapsed_us - usual)
 
     # -----------------------------------------------------------------------------------------------
     # Overdue attempts: silent servers are left, and repeatable requests saved
 
     def _patience(self, request: Request, attempt: Attempt) -> int:
-        usual = PATIENCE * self._usual(request) * max(attempt.server.pace, 1.0)
+        usual = PATIENCE * self._usual(request) * max(attempt.server.latency_ratio, 1.0)
         least = GREETING_AIMS if attempt.greets else PATIENCE_AIMS
         return int(max(usual, least * request.kind.aim_us, self._settings.tick_us))
 
@@ -1138,7 +1139,7 @@
         if trial:
             server.trial = None
         if outcome in (Outcome.DELIVERED, Outcome.REJECTED):
-            server.strikes = server.spoilt = 0
+            server.consecutive_failures = server.spoilt = 0
             server.last_answer_at = self._now
             self._answered_on_idle(attempt)
             self._answers += 1
@@ -1150,16 +1151,16 @@
             # Guards against ejecting servers for what comes spoilt from all of them alike.
             server.spoilt += 1
             server.last_answer_at = self._now
-            if trial or (server.spoilt >= SPOILT_STRIKES and server.ejected_until is None):
+            if trial or (server.spoilt >= CONSECUTIVE_SPOILT and server.ejected_until is None):
                 self._eject(server, outcome.value)
         elif outcome in (Outcome.EXPIRED, Outcome.DROPPED, Outcome.DIAL_FAILED, Outcome.ERROR):
             if outcome is Outcome.EXPIRED and server.last_answer_at > attempt.sent_at:
                 return  # it is slow, not sick: it answered others meanwhile
             if outcome in (Outcome.EXPIRED, Outcome.DROPPED) and self._silent_on_idle(attempt) and not trial:
                 return
-            server.strikes += 1
-            enough = STRIKES_DROPPED if outcome is Outcome.DROPPED else STRIKES
-            if trial or (server.strikes >= enough and server.ejected_until is None):
+            server.consecutive_failures += 1
+            enough = CONSECUTIVE_DROPPED if outcome is Outcome.DROPPED else CONSECUTIVE_FAILURES
+            if trial or (server.consecutive_failures >= enough and server.ejected_until is None):
                 self._eject(server, outcome.value)
                 if trial and outcome is Outcome.DIAL_FAILED:
                     # It is down for good, and may come back before the list says so.  Connections that break
@@ -1168,7 +1169,7 @@
 
     def _eject(self, server: Server, reason: str, most: float = EJECTED_MOST) -> None:
         if server.ejected_until is None:
-            if len(self._ejected) + 1 > most * min(len(self._ready), self._reach()):
+            if len(self._ejected) + 1 > most * min(len(self._ready), self._subset_size()):
                 return
             self._ejected.append(server)
             self._stuck += server.in_flight
@@ -1186,7 +1187,7 @@
         self._ejected.remove(server)
         self._stuck -= server.in_flight
         server.ejections = 0
-        server.strikes = 0
+        server.consecutive_failures = 0
         if server.cold_since is not None and server.cold_since != server.started_at:
             self._turned_cold(server, self._now)
         self._actions.append(Note("readmitted", server.name))
@@ -1250,7 +1251,7 @@
             warm = [each for each in self._ready if not self._is_cold(each)]
             peers = warm or self._ready  # ejected ones too: they served a part of what is counted
             if warm:
-                sent_to = min(len(warm), self._reach())
+                sent_to = min(len(warm), self._subset_size())
                 now = self._served_warm.per_us(self._now) / max(sent_to, 1)
             else:  # sends go wherever there is room, and so to all
                 sent_to = len(peers)
