--- a/tulipnotch/decisions/balancer.py
+++ b/tulipnotch/decisions/balancer.py
@@ -13,6 +13,7 @@
 import math
 import random
 
+from tulipnotch.decisions import slow_start
 from tulipnotch.decisions.interface import (
     NEVER,
     Action,
@@ -50,34 +51,32 @@
 # Constants: ratios of what the settings give or of what was observed
 
 DRAWN = 4  # k: counts are mostly small here, where two looks find too little
-REACH = 4.0  # a balancer at rest draws from this many servers: a choice, yet few enough to know them
-REACH_PER_BUSY = 1.0  # and from one more for each request in flight: as many again may be empty
+SUBSET = 4.0  # a balancer at rest draws from this many servers: a choice, yet few enough to know them
+SUBSET_PER_BUSY = 1.0  # and from one more for each request in flight: as many again may be empty
 TICKS_EARLY = 2  # a final answer leaves this many ticks before the client's time is up
-COLD_SHARE = 0.25  # part of the pushing-over load that a cold server's budget fills at
 BORNE_FADES = 0.5  # what a warm server bore fades e-fold in this part of the time to warm up
-COLD_BURST = 0.18  # part of that load that may come at once
 RATE_SPANS = 2.0  # rates are averaged over this many fall times
 ASK_AGAIN = 0.05  # first wait before asking discovery again, of the time allowed without asking
 ASK_AGAIN_MOST = 0.25  # and the longest: three failed calls in a row still fit
-REMOTE_LEAST = 0.25  # odds of a server in another zone while the own zone is as quick
-REMOTE_EVEN = 0.3  # the own zone this far behind the others' pace, all zones are drawn alike
+REMOTE_LEAST = 0.25  # weight of a server in another zone while the own zone is as quick
+REMOTE_EVEN = 0.3  # the own zone this far behind the others by latency ratio, all zones are drawn alike
 REMOTE_SPENT = 0.12  # or the typical answer at twice this part of its aim
 REMOTE_LATE = 0.05  # or this part of the answers comes late
 FAR_SLOWER = 2.0  # until then, of servers as busy, one in another zone counts as this much slower
 EXTRA_PER_REQUEST = 0.2  # further attempts after failures, for each first attempt: no retry storms
 EXTRA_SAVED = 50.0  # first attempts whose allowance may be saved up
-SPOILT_STRIKES = (
+CONSECUTIVE_SPOILT = (
     6  # spoilt answers in a row, none good between, that eject: below that it was the way, not it
 )
-STRIKES_DROPPED = 3  # or so many that end in a broken connection, which may be the way's fault
-STRIKES = 2  # failures in a row, none answered between, that eject a server
+CONSECUTIVE_DROPPED = 3  # or so many that end in a broken connection, which may be the way's fault
+CONSECUTIVE_FAILURES = 2  # failures in a row, none answered between, that eject a server
 EJECT_AIMS = 2.0  # first ejection lasts this many of the longest aim; it doubles with each failed trial
 EJECT_AIMS_MOST = 16.0  # and never lasts longer: a server that came back is found again
 SILENT_MOST = 0.34  # no more than this share is ejected for silence alone: more is overload, not sickness
 EJECTED_MOST = 0.6  # never more than this share of the list is ejected: the rest would drown
-SHY_AIMS = 0.5  # a class keeps off a server for so many of the longest aim after a full answer
-SHY_AIMS_MOST = 4.0  # and for twice as long at each further one in a row, up to this
-PATIENCE = 2.5  # usual times (at this server's pace) after which an attempt is overdue
+BACK_OFF_AIMS = 0.5  # a class keeps off a server for so many of the longest aim after a full answer
+BACK_OFF_AIMS_MOST = 4.0  # and for twice as long at each further one in a row, up to this
+PATIENCE = 2.5  # usual times (at this server's latency ratio) after which an attempt is overdue
 PATIENCE_AIMS = 0.1  # but never less than this part of the aim: short times are all jitter
 GREETING_AIMS = 0.5  # or this on a new connection, which begins with a handshake
 QUIET_PEERS = 4  # answers from others, since the overdue attempt left, that make its server's silence its own
@@ -88,10 +87,10 @@
 STALE_STEP_BACK = 0.3  # an answer on one speaks against it, but some servers may keep theirs
 STALE_AIMS = 16.0  # what was learnt of idle connections fades in this many of the longest aim
 STALE_ODDS = 0.25  # from these odds on, idle connections are not relied on
-GHOST_LIFE = 0.3  # an attempt given up on counts as in flight for this part of its wait more
-HEAVY_POWER = 3.0  # of pace, in the odds for a request of four times the mean cost or more
-PACE_STEP = 0.1  # a server's pace follows its last ten answers or so, or fewer where few are in flight
-PACE_CLIP = 4.0  # one answer counts for at most this many usual ones: heavy requests say little of a server
+ABANDONED_LIFE = 0.3  # an attempt given up on counts as in flight for this part of its wait more
+HEAVY_POWER = 3.0  # of its latency ratio, in the weight for a request of four times the mean cost or more
+RATIO_STEP = 0.1  # a latency ratio follows a server's last ten answers or so, fewer where few are in flight
+RATIO_CLIP = 4.0  # one answer counts for at most this many usual ones: heavy requests say little of a server
 NORM_STEP = 0.02  # the usual time and cost of a class follow its last fifty requests or so
 UNSEEN_AIMS = 0.3  # the usual time before any answer, in aims
 AIM_SPENT = 0.15  # the typical answer may take this part of its aim; beyond that the fleet is overloaded
@@ -127,26 +126,25 @@
     """What this balancer knows of one server."""
 
     __slots__ = (
+        "abandoned",
         "allowance",
-        "allowance_at",
+        "backing_off",
         "cell",
         "cold_since",
+        "consecutive_failures",
         "ejected_until",
         "ejections",
-        "ghosts",
         "idle_since",
         "in_flight",
         "last_answer_at",
+        "latency_ratio",
         "lines",
         "name",
         "nominal",
-        "pace",
         "place",
-        "shy",
         "spoilt",
         "started_at",
         "state",
-        "strikes",
         "trial",
         "zone",
     )
@@ -157,26 +155,25 @@
         self.zone = ""
         self.cell = 0
         self.nominal = 1.0
-        self.pace = 1.0  # how long it takes, relative to the usual
+        self.latency_ratio = 1.0  # how long it takes, relative to the usual
         self.state = ServerState.GONE
         self.started_at: int | None = None
         self.cold_since: int | None = None
-        self.allowance = 0.0  # of a cold server: what may be sent to it now, in requests of mean cost
-        self.allowance_at = 0
+        self.allowance: slow_start.Allowance | None = None  # of a cold server
         self.in_flight = 0
-        self.ghosts: list[int] = []  # when each attempt given up on stops counting
+        self.abandoned: list[int] = []  # when each attempt given up on stops counting
         self.lines = 0  # connections that are open, as far as attempts tell
         self.idle_since: int | None = None  # when a connection was last used; None: there is none to reuse
         self.last_answer_at = -1
-        self.shy: dict[str, Shy] = {}  # by class that it was full for
-        self.strikes = 0
+        self.backing_off: dict[str, BackOff] = {}  # by class that it was full for
+        self.consecutive_failures = 0
         self.spoilt = 0  # spoilt answers in a row
         self.ejections = 0
         self.ejected_until: int | None = None  # None: not ejected
         self.trial: Attempt | None = None  # the single attempt that may bring it back
 
 
-class Shy:
+class BackOff:
     """A server's full answers to one class: it is kept off until then, for so many aims."""
 
     __slots__ = ("aims", "until")
@@ -238,6 +235,7 @@
         "said_full",
         "size",
         "tried",
+        "work",
     )
 
     def __init__(self, ident: int, kind: ServiceClass, cost: float) -> None:
@@ -246,6 +244,7 @@
         self.coming = True  # whether its last byte has not come yet, so that its time does not run
         self.kind = kind
         self.cost = cost  # relative to the mean of its class
+        self.work = cost  # relative to the mean of all
         self.size = max(-3, min(math.frexp(cost)[1], 4))  # cost by powers of two
         self.attempts: list[Attempt] = []
         self.tried: list[Server] = []  # servers that failed this request, full ones included
@@ -281,20 +280,22 @@
         self._ask_due: int | None = None  # when discovery is asked next; None while the list is followed
         self._pending = 0  # attempts out
         self._stuck = 0  # of these, at ejected servers
-        self._ghosts: list[int] = []  # when each attempt given up on stops counting, soonest first
+        self._abandoned: list[int] = []  # when each attempt given up on stops counting, soonest first
         self._ejected: list[Server] = []
         self._stale = 0.0  # odds that an idle connection is dead, as of _stale_at
         self._stale_at = 0
         self._stale_idle = 0  # the shortest idle time at which one was
-        self._remote = 1.0  # odds of a server in another zone, as of _remote_at
+        self._remote = 1.0  # weight of a server in another zone, as of _remote_at
         self._remote_at = -1
         self._far_part = 0.0  # part of the ready servers that are in other zones
         self._bearable = 0.0  # what a warm server of mean size bore for this balancer, as of _bearable_at
+        self._known_part = 1.0  # of the servers that bore it, those that this balancer sends to
         self._mean_size = 1.0
         self._bearable_at = -1
         self._answers = 0  # answers so far, from all servers
         self._extra = EXTRA_PER_REQUEST * EXTRA_SAVED / 2
         self._mean_cost: dict[str, float] = {}
+        self._work = slow_start.MeanWork()
         self._arrivals = Rate(RATE_SPANS * settings.rules.fall_us)
         self._served_warm = Rate(RATE_SPANS * settings.rules.fall_us)
         self._norms: dict[tuple[str, int], float] = {}  # usual time of a class and size, over all servers
@@ -336,7 +337,7 @@
         self._norms = {key: usual for key, usual in self._norms.items() if key[0] in self._classes}
         self._mean_cost = {name: mean for name, mean in self._mean_cost.items() if name in self._classes}
         for server in self._servers.values():
-            server.shy = {name: shy for name, shy in server.shy.items() if name in self._classes}
+            server.backing_off = {n: each for n, each in server.backing_off.items() if n in self._classes}
 
     def handle(self, now: int, event: Event) -> list[Action]:
         """Take one event at clock time `now`; return what to do, in order."""
@@ -422,7 +423,7 @@
             listed = {line.server for line in event.servers}
             for server in self._servers.values():
                 if server.name not in listed:
-                    self._state_heard(server, ServerState.GONE)
+                    self._state_received(server, ServerState.GONE)
         for line in event.servers:
             self._server_listed(line)
         for server in [each for each in self._servers.values() if each.state is ServerState.GONE]:
@@ -436,8 +437,8 @@
             self._window = max(START_WINDOW * len(self._ready) / self._settings.group_size, MANY)
         mean_size = sum(each.nominal for each in self._ready) / max(len(self._ready), 1)
         for server in self._ready:
-            if server.pace <= 0.0:  # until answers tell, a server is as quick as its nominal size
-                server.pace = mean_size / server.nominal if server.nominal > 0.0 else 1.0
+            if server.latency_ratio <= 0.0:  # until answers tell, a server is as quick as its nominal size
+                server.latency_ratio = mean_size / server.nominal if server.nominal > 0.0 else 1.0
 
     def _server_listed(self, line: ListedServer) -> None:
         server = self._servers.get(line.server)
@@ -446,9 +447,9 @@
         server.zone = line.zone
         server.cell = line.cell
         if server.state is ServerState.GONE or line.nominal != server.nominal:
-            server.pace = 0.0  # to be set by its nominal size
+            server.latency_ratio = 0.0  # to be set by its nominal size
         server.nominal = max(line.nominal, 0.0)
-        self._state_heard(server, line.state)
+        self._state_received(server, line.state)
         if line.started_at is not None and line.started_at != server.started_at:
             server.started_at = line.started_at
             server.lines = server.in_flight  # those to the process before are closed
@@ -468,9 +469,9 @@
             if server in self._ejected:
                 self._ejected.remove(server)
 
-    def _state_heard(self, server: Server, state: ServerState) -> None:
-        heard, server.state = server.state is not state, state
-        if heard:
+    def _state_received(self, server: Server, state: ServerState) -> None:
+        changed, server.state = server.state is not state, state
+        if changed:
             self._close_if_leaving(server)
 
     def _close_if_leaving(self, server: Server) -> None:
@@ -496,6 +497,7 @@
         self._arrivals.add(self._now, 1.0)
         self._extra = min(self._extra + EXTRA_PER_REQUEST, EXTRA_PER_REQUEST * EXTRA_SAVED)
         request = Request(event.request, kind, self._relative_cost(kind, event.cost_us))
+        request.work = self._work.relative(event.cost_us, UNSEEN_AIMS * kind.aim_us)
         self._requests[event.request] = request
         if not event.coming:
             self._begin_time(request, event.remaining_us)
@@ -616,9 +618,9 @@
 
         Running counts, not a sum over the list: it is asked for at every event.
         """
-        while self._ghosts and self._ghosts[0] <= self._now:
-            heapq.heappop(self._ghosts)
-        return self._pending - self._stuck + len(self._ghosts)
+        while self._abandoned and self._abandoned[0] <= self._now:
+            heapq.heappop(self._abandoned)
+        return self._pending - self._stuck + len(self._abandoned)
 
     def _fill(self) -> float:
         """How much of the window is taken.
@@ -706,108 +708,109 @@
         trial = self._trial_due(request)
         if trial is not None:
             return trial
-        pool = self._within_reach(request)
+        pool = self._subset(request)
         if not pool:
             return None
-        remote = self._remote_odds()
+        remote = self._remote_weight()
         power = min(max(1.0, float(request.size)), HEAVY_POWER)
-        odds = [
-            self._odds(each, power) * (1.0 if each.zone == self._settings.zone else remote) for each in pool
+        weights = [
+            self._weight(each, power) * (1.0 if each.zone == self._settings.zone else remote) for each in pool
         ]
         best: Server | None = None
         best_rank = (0, 0.0)
         # Not always, or nothing would be learnt of the others.
         far = FAR_SLOWER if remote < 1.0 and self._random.random() >= remote * remote else 1.0
-        for server in self._drawn(pool, odds, DRAWN << request.said_full):
-            rank = (self._busy(server), server.pace * (1.0 if server.zone == self._settings.zone else far))
+        for server in self._drawn(pool, weights, DRAWN << request.said_full):
+            slower = 1.0 if server.zone == self._settings.zone else far
+            rank = (self._busy(server), server.latency_ratio * slower)
             if best is None or rank < best_rank:
                 best, best_rank = server, rank
         return best
 
-    def _within_reach(self, request: Request) -> list[Server]:
+    def _subset(self, request: Request) -> list[Server]:
         """The first eligible servers in this balancer's own order, as many as its traffic can know.
 
         Guards against a large fleet seen from many small balancers: each would hold a connection to each
         server, more than servers accept, and learn next to nothing of any.  A busy balancer reaches all.
         """
-        reach = self._reach()
-        slots = {True: reach, False: reach}  # for servers of the own zone, and for others
+        size = self._subset_size()
+        slots = {True: size, False: size}  # for servers of the own zone, and for others
         if self._settings.prices.cross_zone > 0.0:
-            slots[False] = max(round(reach * self._remote_odds() * self._far_part), 1)
-            slots[True] = reach - slots[False]
+            slots[False] = max(round(size * self._remote_weight() * self._far_part), 1)
+            slots[True] = size - slots[False]
         pool: list[Server] = []
         spare: list[Server] = []
-        shy: list[Server] = []
+        backing_off: list[Server] = []
         for each in self._ready:
             if self._eligible(each, request):
-                if self._is_shy(each, request.kind.name):
-                    shy.append(each)
+                if self._is_backing_off(each, request.kind.name):
+                    backing_off.append(each)
                     continue
                 near = each.zone == self._settings.zone
                 slots[near] -= 1
                 (pool if slots[near] >= 0 else spare).append(each)
-                if len(pool) >= reach:
+                if len(pool) >= size:
                     break
-        pool += spare[: reach - len(pool)]
-        pool = pool or shy[:reach]
+        pool += spare[: size - len(pool)]
+        pool = pool or backing_off[:size]
         return pool
 
-    def _is_shy(self, server: Server, kind: str) -> bool:
-        shy = server.shy.get(kind)
-        return shy is not None and self._now < shy.until
+    def _is_backing_off(self, server: Server, kind: str) -> bool:
+        back_off = server.backing_off.get(kind)
+        return back_off is not None and self._now < back_off.until
 
-    def _full_heard(self, server: Server, kind: str) -> None:
+    def _full_received(self, server: Server, kind: str) -> None:
         """Keep a class off a server that was full for it.
 
         Guards against servers that turn away one class or tenant while they have room: fleet and server are
         well, only this traffic is unwelcome there.  Also spares redraws where servers turn away early.  It
         gives way where nothing else is left.
         """
-        shy = server.shy.setdefault(kind, Shy())
-        shy.aims = min(2.0 * shy.aims, SHY_AIMS_MOST) if shy.aims else SHY_AIMS
-        shy.until = self._after_about(shy.aims)
+        back_off = server.backing_off.setdefault(kind, BackOff())
+        back_off.aims = min(2.0 * back_off.aims, BACK_OFF_AIMS_MOST) if back_off.aims else BACK_OFF_AIMS
+        back_off.until = self._after_about(back_off.aims)
 
-    def _reach(self) -> int:
-        return int(REACH + REACH_PER_BUSY * self._mean_load)
+    def _subset_size(self) -> int:
+        return int(SUBSET + SUBSET_PER_BUSY * self._mean_load)
 
     def _busy(self, server: Server) -> int:
         """Own requests in flight at a server, with those given up on: they may well run on there.
 
         Guards against a slow or hung server that looks empty because its attempts were called off.
         """
-        if server.ghosts:
-            server.ghosts = [until for until in server.ghosts if until > self._now]
-        return server.in_flight + len(server.ghosts)
+        if server.abandoned:
+            server.abandoned = [until for until in server.abandoned if until > self._now]
+        return server.in_flight + len(server.abandoned)
 
-    def _drawn(self, pool: list[Server], odds: list[float], count: int) -> list[Server]:
-        """Draw distinct servers by their odds; the order is random too, so the first of equals is chance."""
+    def _drawn(self, pool: list[Server], weights: list[float], count: int) -> list[Server]:
+        """Draw distinct servers by weight; the order is random too, so the first of equals is chance."""
         drawn = []
         left = list(range(len(pool)))
-        total = sum(odds)
+        total = sum(weights)
         for _ in range(min(count, len(pool))):
             point = self._random.random() * total
             at = 0
-            while at < len(left) - 1 and point >= odds[left[at]]:
-                point -= odds[left[at]]
+            while at < len(left) - 1 and point >= weights[left[at]]:
+                point -= weights[left[at]]
                 at += 1
             index = left.pop(at)
-            total -= odds[index]
+            total -= weights[index]
             drawn.append(pool[index])
         return drawn
 
-    def _odds(self, server: Server, power: float) -> float:
+    def _weight(self, server: Server, power: float) -> float:
         """Slower servers are drawn less: with few requests most counters are zero, and the draw decides.
 
         Still less for heavy requests, which only quick servers can answer in time.
         """
-        pace = math.pow(max(server.pace, 1.0 / PACE_CLIP), power)
-        return 1.0 / pace if server.cold_since is None else self._warmth(server) / pace
+        slowness = math.pow(max(server.latency_ratio, 1.0 / RATIO_CLIP), power)
+        return 1.0 / slowness if server.cold_since is None else self._warmth(server) / slowness
 
-    def _remote_odds(self) -> float:
+    def _remote_weight(self) -> float:
         """Servers of other zones are drawn less while the own zone is as quick as theirs.
 
-        Spares crossings without the trap of a zone that has more traffic than servers: as the own zone's pace
-        falls behind, or answers come late anywhere, the odds even out.
+        Spares crossings without the trap of a zone that has more traffic than servers: as the own zone
+        falls behind, or answers come late anywhere, the weights even out.
         """
         if self._remote_at != self._now:
             self._remote_at, self._remote = self._now, self._weigh_zones()
@@ -822,10 +825,10 @@
             if each.ejected_until is not None:
                 continue
             if each.zone == self._settings.zone:
-                near += each.pace
+                near += each.latency_ratio
                 near_count += 1
             else:
-                far += each.pace
+                far += each.latency_ratio
                 far_count += 1
         if not near_count or not far_count or far <= 0.0:
             return 1.0
@@ -841,7 +844,7 @@
                 return False
             if any(each.pending and each.server is server for each in request.attempts):
                 return False  # a second copy goes elsewhere
-        return server.cold_since is None or self._cold_room(server, request.cost)
+        return server.cold_since is None or self._cold_room(server, request.work)
 
     # -----------------------------------------------------------------------------------------------
     # The send gate
@@ -860,10 +863,10 @@
             return False  # rule 2
         if server.state is not ServerState.READY:
             return False  # rule 3: at once on hearing, without use of the grace
-        if not self._cold_room(server, request.cost):
+        if not self._cold_room(server, request.work):
             return False  # rule 4
-        if self._is_cold(server):
-            server.allowance -= request.cost
+        if server.allowance is not None and self._is_cold(server):
+            server.allowance.spend(request.work)
         attempt = Attempt(len(request.attempts), server, self._now, self._answers)
         attempt.idled = self._idle_time(server)
         request.attempts.append(attempt)
@@ -976,19 +979,19 @@
         if event.report and "util" in event.report:
             self._follow_cores(min(max(event.report["util"], 0.0), 1.0))
         if waited:
-            until = self._now + int(GHOST_LIFE * event.elapsed_us)
-            attempt.server.ghosts.append(until)
+            until = self._now + int(ABANDONED_LIFE * event.elapsed_us)
+            attempt.server.abandoned.append(until)
             if attempt.server.ejected_until is None:
-                heapq.heappush(self._ghosts, until)
-            if event.elapsed_us > self._usual(request) * attempt.server.pace:
-                self._pace(attempt.server, request, event.elapsed_us)
+                heapq.heappush(self._abandoned, until)
+            if event.elapsed_us > self._usual(request) * attempt.server.latency_ratio:
+                self._follow_latency_ratio(attempt.server, request, event.elapsed_us)
         if event.outcome is Outcome.ERROR:
             # A quick error must not look like a quick server: it counts as the slowest answer there is.
-            self._pace(attempt.server, request, int(PACE_CLIP * self._usual(request)))
+            self._follow_latency_ratio(attempt.server, request, int(RATIO_CLIP * self._usual(request)))
         if event.outcome is Outcome.FULL:
-            self._full_heard(attempt.server, request.kind.name)
+            self._full_received(attempt.server, request.kind.name)
         if event.outcome is Outcome.DELIVERED:
-            attempt.server.shy.pop(request.kind.name, None)
+            attempt.server.backing_off.pop(request.kind.name, None)
             self._served_aims.add(self._now, request.kind.aim_us)
             # Guards against taking handshakes for load: after a start, or when servers are replaced, most
             # connections are new, and each first answer comes as late as an overloaded server's.  What is
@@ -1019,27 +1022,27 @@
         self._forget_if_gone(attempt.server)
 
     # -----------------------------------------------------------------------------------------------
-    # Pace: how long a server takes, relative to the usual for such requests
+    # Latency ratio: how long a server takes, relative to the usual for such requests
 
     def _usual(self, request: Request) -> float:
         """The usual time of such a request, over all servers."""
         return self._norms.get((request.kind.name, request.size), UNSEEN_AIMS * request.kind.aim_us)
 
-    def _pace(self, server: Server, request: Request, elapsed_us: int) -> None:
-        ratio = min(elapsed_us / max(self._usual(request), 1.0), PACE_CLIP)
-        server.pace += PACE_STEP * self._stretch() * (ratio - server.pace)
+    def _follow_latency_ratio(self, server: Server, request: Request, elapsed_us: int) -> None:
+        ratio = min(elapsed_us / max(self._usual(request), 1.0), RATIO_CLIP)
+        server.latency_ratio += RATIO_STEP * self._stretch() * (ratio - server.latency_ratio)
 
     def _time(self, server: Server, request: Request, elapsed_us: int) -> None:
         kind = (request.kind.name, request.size)
         usual = self._norms.setdefault(kind, float(elapsed_us))  # the first answer of its kind is usual
-        self._pace(server, request, elapsed_us)
+        self._follow_latency_ratio(server, request, elapsed_us)
         self._norms[kind] = usual + NORM_STEP * (elapsed_us - usual)
 
     # -----------------------------------------------------------------------------------------------
     # Overdue attempts: silent servers are left, and repeatable requests saved
 
     def _patience(self, request: Request, attempt: Attempt) -> int:
-        usual = PATIENCE * self._usual(request) * max(attempt.server.pace, 1.0)
+        usual = PATIENCE * self._usual(request) * max(attempt.server.latency_ratio, 1.0)
         least = GREETING_AIMS if attempt.greets else PATIENCE_AIMS
         return int(max(usual, least * request.kind.aim_us, self._settings.tick_us))
 
@@ -1137,7 +1140,7 @@
         if trial:
             server.trial = None
         if outcome in (Outcome.DELIVERED, Outcome.REJECTED):
-            server.strikes = server.spoilt = 0
+            server.consecutive_failures = server.spoilt = 0
             server.last_answer_at = self._now
             self._answered_on_idle(attempt)
             self._answers += 1
@@ -1149,16 +1152,16 @@
             # Guards against ejecting servers for what comes spoilt from all of them alike.
             server.spoilt += 1
             server.last_answer_at = self._now
-            if trial or (server.spoilt >= SPOILT_STRIKES and server.ejected_until is None):
+            if trial or (server.spoilt >= CONSECUTIVE_SPOILT and server.ejected_until is None):
                 self._eject(server, outcome.value)
         elif outcome in (Outcome.EXPIRED, Outcome.DROPPED, Outcome.DIAL_FAILED, Outcome.ERROR):
             if outcome is Outcome.EXPIRED and server.last_answer_at > attempt.sent_at:
                 return  # it is slow, not sick: it answered others meanwhile
             if outcome in (Outcome.EXPIRED, Outcome.DROPPED) and self._silent_on_idle(attempt) and not trial:
                 return
-            server.strikes += 1
-            enough = STRIKES_DROPPED if outcome is Outcome.DROPPED else STRIKES
-            if trial or (server.strikes >= enough and server.ejected_until is None):
+            server.consecutive_failures += 1
+            enough = CONSECUTIVE_DROPPED if outcome is Outcome.DROPPED else CONSECUTIVE_FAILURES
+            if trial or (server.consecutive_failures >= enough and server.ejected_until is None):
                 self._eject(server, outcome.value)
                 if trial and outcome is Outcome.DIAL_FAILED:
                     # It is down for good, and may come back before the list says so.  Connections that break
@@ -1167,7 +1170,7 @@
 
     def _eject(self, server: Server, reason: str, most: float = EJECTED_MOST) -> None:
         if server.ejected_until is None:
-            if len(self._ejected) + 1 > most * min(len(self._ready), self._reach()):
+            if len(self._ejected) + 1 > most * min(len(self._ready), self._subset_size()):
                 return
             self._ejected.append(server)
             self._stuck += server.in_flight
@@ -1185,7 +1188,7 @@
         self._ejected.remove(server)
         self._stuck -= server.in_flight
         server.ejections = 0
-        server.strikes = 0
+        server.consecutive_failures = 0
         if server.cold_since is not None and server.cold_since != server.started_at:
             self._turned_cold(server, self._now)
         self._actions.append(Note("readmitted", server.name))
@@ -1197,7 +1200,7 @@
         for server in self._ejected:
             waited = server.ejected_until is not None and self._now >= server.ejected_until
             if waited and server.state is ServerState.READY and server.trial is None:
-                if self._cold_room(server, request.cost):
+                if self._cold_room(server, request.work):
                     return server
         return None
 
@@ -1206,38 +1209,35 @@
 
     def _turned_cold(self, server: Server, since: int) -> None:
         server.cold_since = since
-        server.allowance = self._random.random()  # from none, all balancers would fall due together, late
-        server.allowance_at = self._now
+        started_at = since if since == server.started_at else None
+        me, size = self._settings.me, self._settings.group_size
+        begins_with = slow_start.phase(server.name, started_at, me, size, self._random.random())
+        server.allowance = slow_start.Allowance(self._now, begins_with)
 
     def _is_cold(self, server: Server) -> bool:
         return server.cold_since is not None and self._now < server.cold_since + self._settings.rules.cold_us
 
     def _warmth(self, server: Server) -> float:
-        """The least share of its capacity that the server has by now."""
-        rules = self._settings.rules
-        if server.cold_since is None or not self._is_cold(server):
-            return 1.0
-        age = max(self._now - server.cold_since, 0)
-        return rules.cold_from + (1.0 - rules.cold_from) * age / rules.cold_us
+        return slow_start.warmth(self._settings.rules, server.cold_since, self._now)
 
-    def _cold_room(self, server: Server, cost: float) -> bool:
-        """Whether a cold server's budget has room for a request of this cost.
+    def _cold_room(self, server: Server, work: float) -> bool:
+        """Whether a cold server's budget has room for a request of this much work, in means.
 
         Guards rule 4.  The budget fills with a part of what would push the server over, judged by what this
         balancer's warm servers serve for it; all balancers doing so stay under the whole.
         """
-        if not self._is_cold(server):
+        if server.allowance is None or not self._is_cold(server):
             return True
         rules = self._settings.rules
         bearable = self._bearable_by_mean()
         if self._mean_size > 0.0:
             bearable *= min(server.nominal / self._mean_size, 1.0)
         limit = rules.fall_multiple * self._warmth(server) * bearable
-        most = max(1.0, COLD_BURST * limit * rules.fall_us)
-        filled = COLD_SHARE * limit * max(self._now - server.allowance_at, 0)
-        server.allowance = min(server.allowance + filled, most)
-        server.allowance_at = self._now
-        return server.allowance >= min(cost, most)
+        # What all instances may put on it, were all like this one.
+        of_all = limit * rules.fall_us * self._settings.group_size * self._known_part
+        if work > slow_start.heaviest(of_all):
+            return False
+        return server.allowance.has_room(self._now, limit, rules.fall_us, work)
 
     def _bearable_by_mean(self) -> float:
         """What a warm server has lately served for this balancer; worked out once for each instant.
@@ -1251,8 +1251,13 @@
             self._bearable_at = self._now
             warm = [each for each in self._ready if not self._is_cold(each)]
             peers = warm or self._ready  # ejected ones too: they served a part of what is counted
-            served = self._served_warm if warm else self._arrivals
-            now = served.per_us(self._now) / max(min(len(peers), self._reach()), 1)
+            if warm:
+                sent_to = min(len(warm), self._subset_size())
+                now = self._served_warm.per_us(self._now) / max(sent_to, 1)
+            else:  # sends go wherever there is room, and so to all
+                sent_to = len(peers)
+                now = self._arrivals.per_us(self._now) / (slow_start.REPEATED * max(sent_to, 1))
+            self._known_part = sent_to / max(len(peers), 1)
             self._bearable = max(now, self._bearable * faded)
             self._mean_size = sum(each.nominal for each in peers) / max(len(peers), 1)
         return self._bearable
