--- a/tests/lab/test_scenarios.py
+++ b/tests/lab/test_scenarios.py
@@ -78,15 +78,17 @@
 
 def test_the_same_seed_gives_the_same_bytes_in_any_process(tmp_path: Path) -> None:
     path = write(tmp_path, SHORT + '[[faults]]\nkind = "crash"\nat_s = 1.0\nfor_s = 1.0\n')
-    told = []
-    for number, hashing in enumerate(("1", "2")):
-        out = tmp_path / str(number)
-        command = [sys.executable, "-c", "from tulipnotch.cli import main; main()", "lab", "run", str(path)]
-        subprocess.run(
-            [*command, "--seeds", "2", "--quiet", "--out", str(out), "--processes", str(number + 1)],
-            check=True, capture_output=True, env={**os.environ, "PYTHONHASHSEED": hashing},
-        )  # fmt: skip
-        told.append(((out / "result.json").read_bytes(), (out / "report.html").read_bytes()))
+    outs = [tmp_path / "1", tmp_path / "2"]
+    runs = [
+        subprocess.Popen(
+            [sys.executable, "-c", "from tulipnotch.cli import main; main()", "lab", "run", str(path),
+             "--seeds", "2", "--quiet", "--out", str(out), "--processes", out.name],
+            stdout=subprocess.DEVNULL, env={**os.environ, "PYTHONHASHSEED": out.name},
+        )
+        for out in outs
+    ]  # fmt: skip
+    assert [each.wait(100) for each in runs] == [0, 0]
+    told = [((out / "result.json").read_bytes(), (out / "report.html").read_bytes()) for out in outs]
     assert told[0] == told[1]
     assert told[0][0].count(b'"seed": ') == 2 and b"<svg" in told[0][1]
 
