--- a/tulipnotch/decisions/slow_start.py
+++ b/tulipnotch/decisions/slow_start.py
@@ -20,13 +20,13 @@
 from tulipnotch.decisions.interface import Rules
 
 FILLS = 0.25  # part of the pushing-over load that all allowances together fill at
-REPEATED = 1.6  # requests for each that clients want, where most are refused and come again
+REPEATED = 1.25  # requests for each that clients want, where most are refused and come again
 BURST = 0.18  # part of that load that may come at once
 LAPSES = 1.0 / FILLS  # fall times after which an unused turn lapses: those open at once are one budget
 MEAN_STEP = 0.02  # the mean work follows the last fifty hints or so
 MEAN_CLIP = 2.0  # one hint counts for at most so many means: a heavy one may come again and again, refused
 LIKELY = 2.0  # hints that the likely mean counts for, before there are any
-HEAVIEST = 0.25  # roots of the server's budget that one request may cost beyond the mean: an eighth of chance
+HEAVIEST = 0.1  # roots of the server's budget that one request may cost beyond the mean: far less than chance
 
 
 def phase(name: str, started_at: int | None, me: int, group_size: int, chance: float) -> float:
