Read on when an answer's last piece has paused its connection

Cause: the client that an answer passes through to pauses its source; with the last piece nobody resumes it, and ClientConnection._answered gave the connection back with reading paused. The next request on it was sent and its answer never read: it ended by its deadline, and a healthy server was blamed. Change: _answered resumes before it gives the connection back. Measured: tests/test_connection_accounting.py, red before (no answer in 20 s), green now.

--- a/tulipnotch/sidecar/client.py
+++ b/tulipnotch/sidecar/client.py
@@ -116,6 +116,11 @@
 
     # What the owner calls
 
+    @property
+    def is_closed(self) -> bool:
+        """Whether it can never be used again, and its owner has been told so."""
+        return self._closed
+
     def is_usable(self) -> bool:
         """Whether a request may be written now: open, at rest, and nothing came that was not asked for.
 
@@ -357,6 +362,8 @@
         is_over = response.status == 200 or self.is_answer_certain
         if self._reader.keep_alive and is_clean and is_over:
             self._began = self._may_write = self._sink = None
+            if self._is_paused:
+                self.resume()  # whoever took this answer asks for no more, and the next one is to be read
             self._on_free(self)
         else:
             self.close()
