Count no connection that ended before it was handed over

Cause: a server that closes, or sends a byte, as a connection comes up is heard before the dial's own task goes on. Upstream._dial then entered the closed connection into its owners, from which nothing takes it any more: each one took a place for good, until no dial was made at all. Ruled out: a reset in the same instant (its end is told after the task), clients' and operators' connections (entered in connection_made). Change: _dial looks at is_closed; discovery's line, which waited for an answer on such a connection until its call was overdue, fails the call at once.

--- a/tulipnotch/sidecar/discovery.py
+++ b/tulipnotch/sidecar/discovery.py
@@ -407,6 +407,8 @@
         if self._connection is None or not self._connection.is_usable():
             self.close()
             self._connection = await self._dial()
+            if not self._connection.is_usable():
+                return Failure.UNWRITTEN  # it ended as it came up: nothing would tell of a call's end
         answer: asyncio.Future[Response | Failure] = asyncio.get_running_loop().create_future()
 
         def ended(how: Response | Failure) -> None:
--- a/tulipnotch/sidecar/upstream.py
+++ b/tulipnotch/sidecar/upstream.py
@@ -342,7 +342,8 @@
                 outcome = Outcome.UNSENT
         finally:
             self._dialling -= 1
-        if connection is None:
+        if connection is None or connection.is_closed:
+            # One that has ended in the instant in which it came up was never counted, and is never told again.
             self._end(call, outcome)
             return
         self._owners[connection] = server
