Never wait for the log, nor lose an action with a line of it

Cause: LineLog printed to standard error. Sidecar._handle guards each action by itself, so that no defect in one takes the others with it.

--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -23,6 +23,7 @@
     ListKind,
     MessageReceived,
     Note,
+    Note,
     Outcome,
     Probe,
     ProbeEnded,
@@ -278,6 +279,30 @@
     play(work)
 
 
+def test_an_action_that_fails_ends_none_of_those_behind_it(scripted: Use) -> None:
+    # Guards against a request, or the one timer of all deadlines, that is lost with a line of the log.
+    def decide(event: Event) -> list[Action]:
+        if isinstance(event, RequestArrived):
+            return [Note("readmitted", "s-0"), Send(event.request, "s-0", FAR)]
+        return []
+
+    async def work() -> None:
+        scripted(decide)
+        async with stage(OK) as scene:
+            said: list[str] = []
+
+            def note(event: str, /, **fields: object) -> None:
+                said.append(event)
+                if event == "readmitted":
+                    raise OSError("no room")
+
+            scene.sidecar._log = note
+            assert (await scene.ask("check")).status == 200
+            assert said == ["readmitted", "internal_error"]
+
+    play(work)
+
+
 def test_any_bytes_from_clients_and_servers_leave_the_sidecar_alive() -> None:
     chance = random.Random(20)
 
--- a/tulipnotch/sidecar/logs.py
+++ b/tulipnotch/sidecar/logs.py
@@ -7,12 +7,13 @@
 from __future__ import annotations
 
 import string
-import sys
 import time
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from enum import Enum, unique
-from typing import Any, Protocol, TextIO
+from typing import Any, Protocol
+
+from tulipnotch.sidecar.log_stream import LogStream
 
 
 class Log(Protocol):
@@ -72,18 +73,29 @@
     lines_at_once: float = 200.0
 
 
+class LineStream(Protocol):
+    """Takes lines, or raises OSError."""
+
+    def write(self, text: str, /) -> int: ...
+
+    def flush(self) -> None: ...
+
+
 class LineLog:
-    """Writes events to a stream, not more than so many a second; what was left out is counted and said."""
+    """Writes events to a stream, not more than so many a second; what was left out is counted and said.
+
+    A line that the stream does not take is left out too: no event ends, and nobody waits, for want of a log.
+    """
 
     def __init__(
         self,
         form: Format = Format.TEXT,
         limits: LogLimits | None = None,
-        stream: TextIO | None = None,
+        stream: LineStream | None = None,
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
         self._limits = limits or LogLimits()
-        self._stream = stream or sys.stderr
+        self._stream = stream or LogStream()
         self._clock = clock
         self._write = self._write_text if form is Format.TEXT else _json_writer(self._stream)
         self._allowance = self._limits.lines_at_once
@@ -99,16 +111,20 @@
             self._left_out += 1
             return
         self._allowance -= 1.0
-        if self._left_out:
-            left_out, self._left_out = self._left_out, 0
-            self._write("left_out", {"count": left_out})
-        self._write(event, fields)
+        try:
+            if self._left_out:
+                self._write("left_out", {"count": self._left_out})
+                self._left_out = 0
+            self._write(event, fields)
+        except OSError:
+            self._left_out += 1
 
     def _write_text(self, event: str, fields: Mapping[str, object]) -> None:
-        print(line(event, fields), file=self._stream, flush=True)
+        self._stream.write(line(event, fields) + "\n")
+        self._stream.flush()
 
 
-def _json_writer(stream: TextIO) -> Callable[[str, Mapping[str, object]], None]:
+def _json_writer(stream: LineStream) -> Callable[[str, Mapping[str, object]], None]:
     import structlog
 
     logger = structlog.wrap_logger(
--- a/tulipnotch/sidecar/sidecar.py
+++ b/tulipnotch/sidecar/sidecar.py
@@ -389,21 +389,30 @@
                 event = self._events.popleft()
                 if isinstance(event, AttemptEnded):
                     event.answered = self._is_answered(event.request)
-                try:
-                    for action in self._balancer.handle(self._clock.now(), event):
-                        self._carry_out(action)
-                except Exception as fault:
-                    self._defect(event, fault)
+                self._handle(event)
                 if isinstance(event, AttemptEnded):
                     self._forget_if_over(event.request)
         finally:
             self._is_handling = False
 
-    def _defect(self, event: Event, fault: Exception) -> None:
-        """Live on after a defect in the decisions, and owe nobody an answer because of it."""
-        self._log("internal_error", where=type(event).__name__, fault=repr(fault))
-        if isinstance(event, (RequestArrived, AttemptEnded)):
-            self._answer(event.request, 500, [])
+    def _handle(self, event: Event) -> None:
+        """Let the decisions take an event, and carry out each action, whatever becomes of the one before."""
+        try:
+            actions = self._balancer.handle(self._clock.now(), event)
+        except Exception as fault:
+            self._defect(event, fault)
+            return
+        for action in actions:
+            try:
+                self._carry_out(action)
+            except Exception as fault:
+                self._defect(action, fault)
+
+    def _defect(self, where: Event | Action, fault: Exception) -> None:
+        """Live on after a defect, and owe nobody an answer because of it."""
+        self._log("internal_error", where=type(where).__name__, fault=repr(fault))
+        if isinstance(where, (RequestArrived, AttemptEnded, Send, Refuse, Fail)):
+            self._answer(where.request, 500, [])
 
     def _listed(self, listing: discovery.Listing) -> None:
         self._has_fresh_list.set()
