--- a/tests/running.py
+++ b/tests/running.py
@@ -61,7 +61,7 @@
 
 
 async def started(
-    config: Path, pass_fds: tuple[int, ...] = (), stderr: int = asyncio.subprocess.PIPE, **environ: str
+    config: Path, pass_fds: tuple[int, ...] = (), stderr: int = asyncio.subprocess.PIPE, /, **environ: str
 ) -> asyncio.subprocess.Process:
     return await asyncio.create_subprocess_exec(
         sys.executable,
--- a/tests/test_log_faults.py
+++ b/tests/test_log_faults.py
@@ -63,7 +63,7 @@
                 process = await started(
                     config,
                     (listener.fileno(),),
-                    stderr=log,
+                    log,
                     BALANCER_INHERITED_FD=str(listener.fileno()),
                 )
                 try:
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -23,7 +23,6 @@
     ListKind,
     MessageReceived,
     Note,
-    Note,
     Outcome,
     Probe,
     ProbeEnded,
--- a/tulipnotch/sidecar/logs.py
+++ b/tulipnotch/sidecar/logs.py
@@ -11,7 +11,7 @@
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from enum import Enum, unique
-from typing import Any, Protocol
+from typing import Any, Protocol, TextIO, cast
 
 from tulipnotch.sidecar.log_stream import LogStream
 
@@ -128,7 +128,7 @@
     import structlog
 
     logger = structlog.wrap_logger(
-        structlog.WriteLogger(stream),
+        structlog.WriteLogger(cast(TextIO, stream)),
         processors=[
             structlog.processors.add_log_level,
             structlog.processors.TimeStamper(fmt="iso", utc=True, key="at"),
