Lose no connection that waits in the kernel because one call of accept fails

Cause: Acceptor.close(is_last=True) took any OSError for the end of the queue; ECONNABORTED of one connection, or ENFILE for a moment, left the others to the close, which reset them with the requests written there.

--- a/tests/test_announced.py
+++ b/tests/test_announced.py
@@ -369,7 +369,8 @@
         async with stage(OK) as scene:
             with socket.create_connection((HOST, scene.sidecar.frontend.port)) as caller:
                 caller.sendall(request("lodge"))  # the event loop has had no turn since
-                scene.sidecar.frontend.stop_listening(is_last=True)
+                assert scene.sidecar.frontend.take_waiting()
+                scene.sidecar.frontend.stop_listening()
                 caller.setblocking(False)
                 came = await asyncio.get_running_loop().sock_recv(caller, 1_000)
             assert came.startswith(b"HTTP/1.1 200 ")
--- a/tulipnotch/sidecar/frontend.py
+++ b/tulipnotch/sidecar/frontend.py
@@ -463,9 +463,13 @@
         for each in [each for each in self.connections() if each.is_idle]:
             each.close()
 
-    def stop_listening(self, *, is_last: bool = False) -> None:
+    def take_waiting(self) -> bool:
+        """Take all connections that wait in the kernel; say whether none is left there."""
+        return self._acceptor is None or self._acceptor.take_waiting()
+
+    def stop_listening(self) -> None:
         if self._acceptor is not None:
-            self._acceptor.close(is_last=is_last)
+            self._acceptor.close()
 
     def close(self) -> None:
         self.stop_listening()
--- a/tulipnotch/sidecar/sidecar.py
+++ b/tulipnotch/sidecar/sidecar.py
@@ -53,7 +53,7 @@
 from tulipnotch.sidecar.http1 import Headers, Request, Response
 from tulipnotch.sidecar.incoming import BadRequest, Incoming
 from tulipnotch.sidecar.lifecycle import Lifecycle, Phase
-from tulipnotch.sidecar.listener import bind
+from tulipnotch.sidecar.listener import listen, reserve_soon
 from tulipnotch.sidecar.logs import Log
 from tulipnotch.sidecar.peers import Peers
 from tulipnotch.sidecar.spent_requests import SpentRequests
@@ -193,6 +193,7 @@
         Where lists are pushed it is not: all that the agent has counts as announced from the first moment on.
         """
         self._is_inherited = self._shares_room = inherited is not None
+        reserved = await reserve_soon(self.config.listen) if inherited is None else None
         if self._settings.limits.may_message and self.config.peer_listen is not None:
             await self._peers.listen(self.config.peer_listen)
         self._upstream.listed(self.config.known)
@@ -200,9 +201,11 @@
         self._discovery.start()
         if inherited is None:
             if self._settings.discovery is Discovery.PUSHED:
-                # Nothing is bound meanwhile: what the kernel accepts is lost if this start is called off.
+                # Nothing listens meanwhile: what the kernel accepts is lost if this start is called off.
                 await self._until(self._discovery.has_tried, _FRESH_WITHIN_S)
-            self.frontend.listen(bind(self.config.listen, self.frontend.most))
+            assert reserved is not None
+            listen(reserved, self.frontend.most)
+            self.frontend.listen(reserved)
             if not self.config.known.entries:  # else its clients need not wait, and nobody else serves them
                 await self._freshly_listed(_FRESH_WITHIN_S)
         else:
@@ -364,7 +367,9 @@
         await asyncio.sleep(_NEW_FOR_S)
         while loop.time() < self.frontend.last_opened + _QUIET_S and loop.time() < began + _KILLED_AFTER_S:
             await asyncio.sleep(_QUIET_S / 2)
-        self.frontend.stop_listening(is_last=True)
+        while not self.frontend.take_waiting() and loop.time() < until:
+            await asyncio.sleep(_QUIET_S / 2)
+        self.frontend.stop_listening()
         while (self._owed or not self.frontend.is_empty) and loop.time() < until:
             if not self._owed:
                 self.frontend.close_idle()
