Outlive signals and system calls that go wrong while a process starts

Cause: SIGHUP ended a process that was still loading (no handler yet); ENFILE, ENOBUFS or EADDRINUSE for a moment at its address ended it with exit code 1; a new version could not start beside the old one where messages between sidecars are allowed, since that held the address for them. Change: SIGHUP is blocked until there is a handler; addresses are reserved again for 3 s; the address for messages is taken as soon as it can be had, and nothing waits for it. __main__ only starts, program.py serves. An address that stays in use is still exit code 1 with one line, 3 s later.

--- a/tulipnotch/sidecar/control.py
+++ b/tulipnotch/sidecar/control.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass
 from typing import cast
@@ -43,7 +44,11 @@
 
     def listen(self, address: Address) -> None:
         """Open the door; raise OSError where the address can't be had."""
-        self._acceptor = Acceptor(bind(address), lambda: _Caller(self))
+        self.take(bind(address))
+
+    def take(self, listener: socket.socket) -> None:
+        """Open the door on a socket that listens."""
+        self._acceptor = Acceptor(listener, lambda: _Caller(self))
 
     @property
     def port(self) -> int:
--- a/tulipnotch/sidecar/discovery.py
+++ b/tulipnotch/sidecar/discovery.py
@@ -192,7 +192,7 @@
 
     def start(self) -> None:
         """Where lists are pushed, the agent's are received from the start on, unasked."""
-        if self._pushed:
+        if self._pushed and self._watch is None:  # a reload may have come first
             self._begin_watch()
 
     def follow(self, wanted: bool) -> None:
--- a/tulipnotch/sidecar/peers.py
+++ b/tulipnotch/sidecar/peers.py
@@ -4,10 +4,12 @@
 
 import asyncio
 from collections.abc import Callable
+from contextlib import suppress
 from typing import cast
 
 from tulipnotch.sidecar.client import Address
 
+_BIND_AGAIN_S = 0.5  # between two tries to get the own address
 MOST_BYTES = 256  # of a datagram; a longer one is never sent
 
 
@@ -25,6 +27,7 @@
         self._me = me
         self._on_message = on_message
         self._transport: asyncio.DatagramTransport | None = None
+        self._binding: asyncio.Task[None] | None = None  # until the address can be had
 
     def rename(self, peers: tuple[Address, ...], everyone: Address | None) -> None:
         """Reach the tier's sidecars at these addresses from now on."""
@@ -33,8 +36,24 @@
         self._numbers = {address: number for number, address in enumerate(peers)}
 
     async def listen(self, address: Address) -> None:
+        """Hear messages at this address, at once or as soon as it can be had.
+
+        The version before may hold it until it ends, and nothing that a client is owed waits for a message.
+        """
+        try:
+            await self._bind(address)
+        except OSError:
+            self._binding = asyncio.get_running_loop().create_task(self._bind_later(address))
+
+    async def _bind(self, address: Address) -> None:
         await asyncio.get_running_loop().create_datagram_endpoint(lambda: self, local_addr=address)
 
+    async def _bind_later(self, address: Address) -> None:
+        while self._transport is None:
+            await asyncio.sleep(_BIND_AGAIN_S)
+            with suppress(OSError):
+                await self._bind(address)
+
     def tell(self, receiver: int | None, payload: bytes) -> bool:
         """Send to one sidecar, or to all; say whether it could be sent at all."""
         if self._transport is None or len(payload) > MOST_BYTES:
@@ -52,6 +71,8 @@
         return True
 
     def close(self) -> None:
+        if self._binding is not None:
+            self._binding.cancel()
         if self._transport is not None:
             self._transport.close()
 
--- a/tulipnotch/sidecar/program.py
+++ b/tulipnotch/sidecar/program.py
@@ -1,8 +1,4 @@
-"""Starts a sidecar: `python -m tulipnotch.sidecar`.
-
-Exit codes: 0 after SIGTERM or SIGINT, 1 if it can't listen, 2 if its configuration or the listening socket
-that it inherits is bad.
-"""
+"""The program of one sidecar: its files, its signals and its exit code."""
 
 from __future__ import annotations
 
@@ -25,7 +21,7 @@
 from tulipnotch.sidecar import BEGAN
 from tulipnotch.sidecar.config import Config, ConfigError, load
 from tulipnotch.sidecar.control import Control, ControlLimits
-from tulipnotch.sidecar.listener import adopt
+from tulipnotch.sidecar.listener import adopt, listen, reserve_soon
 from tulipnotch.sidecar.logs import Format, LineLog, Log, LogLimits
 from tulipnotch.sidecar.sidecar import ServiceLevels, Sidecar, client_limits
 
@@ -123,9 +119,12 @@
         config, log, client_limits(config, place.clients), place.levels, place.door.most_connections
     )
     loop.add_signal_handler(signal.SIGHUP, reload, sidecar, log)
+    signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})  # one may have come while the program loaded
     control = Control(sidecar.calls(), replace(place.door, most_connections=sidecar.operators))
     if config.control is not None:
-        control.listen(config.control)
+        reserved = await reserve_soon(config.control)
+        listen(reserved)
+        control.take(reserved)
         log("door_open", address=f"{config.control[0]}:{control.port}")
     starting = asyncio.ensure_future(sidecar.start(inherited))
     stopping = asyncio.ensure_future(stop.wait())
@@ -144,7 +143,8 @@
     log("drained")
 
 
-def main() -> int:
+def run() -> int:
+    """Run one sidecar as the environment tells, and give the exit code of its process."""
     try:
         config = load(os.environ)
         place = installation(os.environ.get(_OPERATOR))
@@ -167,7 +167,3 @@
         print(f"tulipnotch: can't listen: {fault}", file=sys.stderr)
         return 1
     return 0
-
-
-if __name__ == "__main__":
-    sys.exit(main())
--- a/tulipnotch/sidecar/upstream.py
+++ b/tulipnotch/sidecar/upstream.py
@@ -343,7 +343,7 @@
         finally:
             self._dialling -= 1
         if connection is None or connection.is_closed:
-            # One that has ended in the instant in which it came up was never counted, and is never told again.
+            # One that has ended as it came up was never counted, and its end is not told again.
             self._end(call, outcome)
             return
         self._owners[connection] = server
