Let no last byte follow a head that tells a server too much time

Cause: the head tells what the client has left as it is written; a server that takes the rest slowly counted that from the last byte, up to the whole write later. Upstream._may_write looked at the window of repeats in that instant and not at what had been told. Change: more than 0.1 s after the head (of the 0.15 s of slack) the attempt ends before its last byte; it never ran, its server counts as failed, and another is told what is left.

--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -11,6 +11,7 @@
 import pytest
 
 CONFTEST = Path(__file__).parent / "conftest.py"
+KNOWN_RED = Path(__file__).parent / "known_red.py"
 TESTS = """
 import pytest
 
@@ -34,6 +35,7 @@
 def folder(tmp_path: Path) -> Path:
     """A project with this one's conftest, and tests of three kinds."""
     shutil.copy(CONFTEST, tmp_path)
+    shutil.copy(KNOWN_RED, tmp_path)
     (tmp_path / "test_it.py").write_text(TESTS)
     (tmp_path / "pytest.ini").write_text("[pytest]\nmarkers =\n    alone: alone\n    later: later\n")
     return tmp_path
@@ -93,3 +95,36 @@
     code, told = call(folder, "-n", "1")
     assert code == pytest.ExitCode.TESTS_FAILED, told
     assert "add -m 'not alone'" in told and "1 error" in told and "3 passed" in told
+
+
+def _run_with_known(folder: Path, known: str) -> subprocess.CompletedProcess[str]:
+    (folder / "KNOWN-RED.txt").write_text(known)
+    command = [
+        sys.executable,
+        "-m",
+        "pytest",
+        "-m",
+        "not alone",
+        "-p",
+        "no:cacheprovider",
+        "--strict-markers",
+    ]
+    return subprocess.run(command, cwd=folder, capture_output=True, text=True, timeout=60, check=False)
+
+
+def test_a_test_that_is_known_to_fail_is_printed_and_fails_nothing(folder: Path) -> None:
+    (folder / "test_it.py").write_text(TESTS.replace("    pass\n", "    assert False\n", 1))
+    done = _run_with_known(folder, "test_it.py::test_together | a cause | issue 1\n")
+    assert done.returncode == pytest.ExitCode.OK, done.stdout
+    assert "known red: test_it.py::test_together: a cause (issue 1)" in done.stdout
+
+
+def test_a_test_that_is_known_to_fail_and_passes_fails_the_run(folder: Path) -> None:
+    done = _run_with_known(folder, "test_it.py::test_together | a cause | issue 1\n")
+    assert done.returncode == pytest.ExitCode.TESTS_FAILED, done.stdout
+
+
+@pytest.mark.parametrize("known", ["test_it.py::test_together | a cause\n", "a | b | c\n" * 4])
+def test_a_list_of_known_failures_that_is_nonsense_or_too_long_runs_nothing(folder: Path, known: str) -> None:
+    done = _run_with_known(folder, known)
+    assert done.returncode not in (pytest.ExitCode.OK, pytest.ExitCode.TESTS_FAILED)
--- a/tulipnotch/sidecar/upstream.py
+++ b/tulipnotch/sidecar/upstream.py
@@ -25,6 +25,9 @@
 _STALL_LEAST_S = 0.1
 _STALL_DEADLINES = 0.5
 _TIMER_LEAST_US = 1_000  # event loops count in milliseconds: a timer that fires early would fire in vain
+# How long after its head a request's last byte may leave.  The head tells what the client had left by then,
+# and the server counts from the last byte: two thirds of the slack of this, the rest for a late process.
+_TOLD_LATE_US = 100_000
 _LARGEST_FIGURE = 1e9  # of a load report; what is larger is nonsense
 # What says that this machine, not the server, had no room for a connection.
 _OWN_FAULTS = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL)
@@ -50,6 +53,7 @@
         "message",
         "server",
         "timer",
+        "told_at",
         "until",
         "wanted",
         "written",
@@ -76,6 +80,7 @@
         self.wanted = wanted  # asked before a dial or a byte; it may be cancelled within
         self.ended = False
         self.allowed_at = 0  # clock time at which it was last allowed to write
+        self.told_at: int | None = None  # clock time from which on the time that its head tells passes
         self.is_answer_certain = True  # whether an answer can belong to no other request
         self.connection: ClientConnection | None = None  # once it is written
         self.timer: asyncio.TimerHandle | None = None
@@ -213,6 +218,8 @@
         """Abandon the call at this time: it had no limit before."""
         if not call.ended and call.until >= NEVER:
             call.until = until
+            if call.connection is not None:
+                call.told_at = self._clock.now()  # its head told all that a whole request has
             self._arm(call)
 
     def cancel(self, call: Call) -> None:
@@ -302,6 +309,10 @@
             call.allowed_at = self._clock.now()
             if call.allowed_at >= call.latest_begin():
                 self._stop(call, Outcome.UNSENT)  # guards rule 2
+            elif call.told_at is not None and call.allowed_at > call.told_at + _TOLD_LATE_US:
+                # Guards against a server that takes a request slowly, and believes that it has longer than
+                # the client waits: it never ran there, and another is told what is left now.
+                self._stop(call, Outcome.DIAL_FAILED)
         return not call.ended
 
     def _write(self, call: Call, connection: ClientConnection) -> None:
@@ -315,7 +326,9 @@
             return None if call.began is None else call.began(head, connection)
 
         call.connection = connection
-        message = call.message(max(call.until - self._clock.now(), 1_000))
+        now = self._clock.now()
+        call.told_at = now if call.until < NEVER else None
+        message = call.message(max(call.until - now, 1_000))
         connection.exchange(
             message,
             ended,
