--- a/tests/test_instants.py
+++ b/tests/test_instants.py
@@ -170,6 +170,23 @@
     play(work)
 
 
+@pytest.mark.parametrize("sent", [0, 40], ids=["unread", "read in part"])
+def test_room_is_made_at_no_request_whose_last_byte_lies_in_the_socket(sent: int) -> None:
+    # It has been taken by then; whoever connects is turned away instead.
+    async def work() -> None:
+        limits = ClientLimits(greeting_s=0.0, sweep_s=600.0)
+        async with stage(OK, client_limits=limits) as scene:
+            client = await scene.client()
+            whole = request("lodge")
+            client.send(whole[:sent])
+            await until(lambda: _states(scene) == [State.READING if sent else State.SILENT])
+            client.send(whole[sent:])  # it lies in the sidecar's socket, and the event loop has not run
+            assert not scene.sidecar.frontend._make_room()
+            assert (await client.answer()).status == 200
+
+    play(work)
+
+
 def test_a_first_request_in_the_instant_in_which_its_time_is_up_is_read() -> None:
     async def work() -> None:
         limits = ClientLimits(header_timeout_s=0.0, sweep_s=600.0)
