Cut off no half-sent request for room whose last byte has arrived

Cause: Frontend._make_room took the oldest silent or half-sent connection unseen; its last byte may have come since the event loop looked, and a request that was written whole has been taken. Change: it looks at the socket first; where all have something unread, whoever connects is turned away.

--- a/tulipnotch/sidecar/frontend.py
+++ b/tulipnotch/sidecar/frontend.py
@@ -108,9 +108,14 @@
             self.state in (State.RESTING, State.SILENT)
             and self._transport is not None
             and not self.is_unsent
-            and not self._poll.poll(0)
+            and not self.has_unread
         )
 
+    @property
+    def has_unread(self) -> bool:
+        """Whether something lies unread in its socket: bytes, perhaps the last of a request, or its end."""
+        return bool(self._poll.poll(0))
+
     @property
     def is_unsent(self) -> bool:
         """Whether a part of what was written to it has not left yet."""
@@ -542,8 +547,8 @@
                 ),
                 (each for each in self._by_state[State.RESTING] if each.is_idle),
                 (each for each in self._by_state[State.SILENT] if each.is_idle),
-                self._by_state[State.SILENT],
-                self._by_state[State.READING],
+                # Guards against cutting off a request whose last byte has arrived: that one has been taken.
+                (each for each in self._by_state[State.READING] if not each.has_unread),
             ),
             None,
         )
