Count what would break a rule, and why connections, retries and refusals happen

Change: Guard (sidecar/invariants.py) checks at the last byte, at a refusal, a close, a start and an end, from what sockets showed and not from what the decisions believe; app.invariant_violations and the log count. Reasons are counted for client connections' ends, retries, refusals and failures; requests = true under [log] tells each request's life by its id. The gate of a write ends an attempt whose time is up though its timer is late, and an id that may have run is kept by the class that its request came with, not by the one of a later reload.

--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -144,7 +144,7 @@
     assert "app.downstream_requests.new.completed=0" in lines
     assert "app.pending=3" in lines
     assert "app.upstream_requests_withheld=0" in lines
-    assert len(lines) == 3 * 3 + 5
+    assert len(lines) == 3 * 3 + 5 + 29
 
 
 def figures_of(answer: list[str]) -> dict[str, int]:
--- a/tulipnotch/decisions/balancer.py
+++ b/tulipnotch/decisions/balancer.py
@@ -18,6 +18,7 @@
     Fail,
     Outcome,
     Pressure,
+    Reason,
     Refuse,
     RequestArrived,
     RequestGone,
@@ -106,7 +107,7 @@
         if not event.coming:
             self._begin_time(request, event.remaining_us)
         if self._parts.admission.refuses(request, event.tenant):
-            self._finish(request)
+            self._finish(request, Reason.ADMISSION)
         else:
             self._place(request)
 
@@ -143,7 +144,7 @@
         server = self._parts.selection.choose(request)
         if server is None or not self._send(request, server):
             if not request.is_pending():
-                self._finish(request)
+                self._finish(request, Reason.NO_SERVER)
 
     # The send gate
 
@@ -213,14 +214,14 @@
 
     # The final answer gate
 
-    def _finish(self, request: Request) -> None:
+    def _finish(self, request: Request, reason: Reason) -> None:
         """The one way out for an answer that is not a server's: a refusal where legal, else a failure."""
         if request.answered:
             return
+        answer: Refuse | Fail = Fail(request.ident, reason)
         if self._parts.retries.is_refusal_harmless(request):
-            self._context.actions.append(Refuse(request.ident, self._parts.admission.retry_after(request)))
-        else:
-            self._context.actions.append(Fail(request.ident))
+            answer = Refuse(request.ident, self._parts.admission.retry_after(request), reason)
+        self._context.actions.append(answer)
         self._close(request)
 
     def _close(self, request: Request) -> None:
@@ -272,7 +273,7 @@
         if event.answered:
             self._close(request)
         elif event.outcome is Outcome.REJECTED:
-            self._context.actions.append(Fail(request.ident))  # the next server would find the same fault
+            self._context.actions.append(Fail(request.ident, Reason.AT_FAULT))
             self._close(request)
         else:
             self._retry(request, attempt, event)
@@ -287,7 +288,7 @@
                 self._parts.retries.spend()
             self._place(request)
         elif not request.is_pending():
-            self._finish(request)
+            self._finish(request, Reason.NO_RETRY)
         if was_full and request.answered:
             self._parts.limit.request_lost()  # no redraw found room: the fleet is full, not one server
 
@@ -307,7 +308,7 @@
         if request is None or request.answered or any(each.started for each in request.attempts):
             return  # nothing is waited for any more
         if entry.attempt == WHOLE_REQUEST:
-            self._finish(request)
+            self._finish(request, Reason.DEADLINE)
         elif request.attempts[entry.attempt].pending:
             self._attempt_overdue(request, request.attempts[entry.attempt])
 
--- a/tulipnotch/decisions/interface.py
+++ b/tulipnotch/decisions/interface.py
@@ -597,19 +597,32 @@
     until: int  # clock time at which the attempt is abandoned; NEVER: the request's time has not begun
 
 
+@unique
+class Reason(Enum):
+    """Why a request is given up."""
+
+    ADMISSION = "admission"  # the concurrency limit or the service level kept it out
+    NO_SERVER = "no_server"  # no server may have it now
+    NO_RETRY = "no_retry"  # an attempt ended, and no further one is permitted
+    DEADLINE = "deadline"  # its time is up
+    AT_FAULT = "at_fault"  # a server found fault with it, as the next one would
+
+
 @dataclass(slots=True)
 class Refuse:
-    """Final answer: refused; trying again is harmless."""
+    """Final answer: refused; trying again is harmless.  `reason` is for records only."""
 
     request: int
     retry_after_us: int = 0
+    reason: Reason = field(default=Reason.NO_SERVER, compare=False)
 
 
 @dataclass(slots=True)
 class Fail:
-    """Final answer: failed; nothing is promised."""
+    """Final answer: failed; nothing is promised.  `reason` is for records only."""
 
     request: int
+    reason: Reason = field(default=Reason.NO_RETRY, compare=False)
 
 
 @dataclass(slots=True)
--- a/tulipnotch/settings/operator.py
+++ b/tulipnotch/settings/operator.py
@@ -22,6 +22,7 @@
     format: Literal["text", "json"] = "text"
     lines_per_s: Annotated[float, msgspec.Meta(gt=0.0, le=10_000.0)] = 20.0
     lines_at_once: Annotated[float, msgspec.Meta(ge=1.0, le=100_000.0)] = 200.0
+    requests: bool = False
 
 
 class DoorTable(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- a/tulipnotch/sidecar/frontend.py
+++ b/tulipnotch/sidecar/frontend.py
@@ -25,6 +25,7 @@
     chunk,
 )
 from tulipnotch.sidecar.incoming import BadRequest, Incoming, read_request
+from tulipnotch.sidecar.invariants import CloseReason, Guard
 from tulipnotch.sidecar.lifecycle import Lifecycle
 from tulipnotch.sidecar.listener import Acceptor
 
@@ -97,6 +98,7 @@
         self._progress_at = 0.0  # when a byte came last, or one more could be written
         self._looked_at = 0.0  # when it was last looked at how much had come
         self._came = 0  # bytes since then
+        self._closed_for: CloseReason | None = None  # None: this side has not ended it
         self.state = State.SILENT
         self.since = 0.0  # when it came to that state; for a part of a request, when that began
         self.held = 0  # bytes of the request at hand, and of what came behind it
@@ -158,7 +160,7 @@
         """
         if self._owed is not None and self._has_left:
             self._gone()
-            self.cut()
+            self.cut(CloseReason.CLIENT_LEFT)
 
     def answer(self, status: int, headers: Headers, body: bytes, length: int | None = None) -> None:
         """Write the one answer to the open request; `length` is given where no body may follow."""
@@ -218,7 +220,7 @@
         """The request at hand has its answer: go on to the next, or hang up."""
         self._request = None
         if closing:
-            self.close()
+            self.close(CloseReason.ANSWERED)
             return
         self._frontend.moved(self, State.RESTING)
         if self._reader.has_part or self._reader.requests or self._reader.fault is not None:
@@ -228,7 +230,7 @@
         elif not self._is_writing_paused:
             self._resume_reading()
 
-    def close(self) -> None:
+    def close(self, reason: CloseReason) -> None:
         """End our side, after what is still to be written, and let the client end its own, for a while.
 
         Guards against cutting the connection under an answer: with bytes unread, a close resets it, and what
@@ -238,6 +240,7 @@
         transport = self._transport
         if transport is None or transport.is_closing():
             return
+        self._ends(reason)
         self._frontend.moved(self, State.ENDING)
         self._reader.release()
         if not self.is_unsent:
@@ -248,24 +251,32 @@
         transport.write_eof()
         self._resume_reading()
 
-    def cut(self) -> None:
+    def cut(self, reason: CloseReason) -> None:
         """Close it whatever is unsent; in the middle of an answer by a reset.
 
         Guards against an answer that ends with its connection: after an orderly end it would look whole.
         """
         if self._transport is None:
             return
+        self._ends(reason)
         if self._source is not None:  # so it is open
             with own_socket(self._transport) as own:
                 own.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET)
         self._transport.abort()
 
+    def _ends(self, reason: CloseReason) -> None:
+        """Keep why this side ends the connection; every such end passes here."""
+        self._frontend.guard.closing(reason, is_owed=self._owed is not None)
+        if self._closed_for is None:
+            self._closed_for = reason
+
     def reject(self, status: int, text: str = "") -> None:
         """Answer what can't be served, then hang up, whatever else came behind it.
 
         Guards against a client that sends nonsense as fast as it is turned away, and against taking what
         follows nonsense for a request.
         """
+        self._closed_for = self._closed_for or CloseReason.REJECTED
         self._frontend.moved(self, State.ENDING)
         self.answer(status, [], f"{text}\n".encode() if text else b"")
 
@@ -326,7 +337,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         self._gone()
         self._reader.release()
-        self._frontend.closed(self)
+        self._frontend.closed(self, self._closed_for or CloseReason.CLIENT_LEFT)
         self.state = State.ENDING
 
     # The rest
@@ -396,7 +407,7 @@
             self.answer(200 if self._frontend.lifecycle.is_ready else 503, [], f"{phase}\n".encode())
             return
         if self._has_left:
-            self.cut()  # it sent this ahead, and did not wait for it
+            self.cut(CloseReason.CLIENT_LEFT)  # it sent this ahead, and did not wait for it
             return
         try:
             self._owed = self._frontend.arrived(self, self._frontend.read(request, self._classes))
@@ -417,6 +428,8 @@
         lifecycle: Lifecycle,
         on_arrival: Callable[[ClientSide, Incoming], int | None],
         on_gone: Callable[[int], None],
+        on_closed: Callable[[CloseReason], None],
+        guard: Guard,
     ) -> None:
         self._settings = settings
         self.classes = {each.name: each for each in settings.classes}  # never changed, only replaced
@@ -424,7 +437,9 @@
         self._limits = limits
         self.arrived = on_arrival
         self.gone = on_gone
+        self.guard = guard
         self.lifecycle = lifecycle
+        self._on_closed = on_closed
         self.buffer = memoryview(bytearray(_READ_AT_ONCE))  # each read is used up before the next
         self._by_state: dict[State, dict[ClientSide, None]] = {each: {} for each in State}
         self._held = 0
@@ -466,7 +481,7 @@
 
     def close_idle(self) -> None:
         for each in [each for each in self.connections() if each.is_idle]:
-            each.close()
+            each.close(CloseReason.IDLE)
 
     def take_waiting(self) -> bool:
         """Take all connections that wait in the kernel; say whether none is left there."""
@@ -495,7 +510,7 @@
         self.last_opened = connection.since = asyncio.get_running_loop().time()
         if self.open_connections >= self.most and not self._make_room():
             connection.state = State.ENDING  # guards the limit on descriptors: there is none to close for it
-            connection.cut()
+            connection.cut(CloseReason.NO_ROOM)
             return
         self._by_state[State.SILENT][connection] = None
 
@@ -524,7 +539,8 @@
                 return
             oldest.give_up(503)
 
-    def closed(self, connection: ClientSide) -> None:
+    def closed(self, connection: ClientSide, reason: CloseReason) -> None:
+        self._on_closed(reason)
         self._by_state[connection.state].pop(connection, None)
         self._let_go(connection)
 
@@ -555,7 +571,7 @@
         if spare is None:
             return False
         self._by_state[spare.state].pop(spare)
-        spare.cut()
+        spare.cut(CloseReason.NO_ROOM)
         return True
 
     # Time limits
@@ -573,7 +589,7 @@
         leaving_s = limits.leaving_s if self.lifecycle.is_emptying else limits.idle_timeout_s
         for each in list(self._by_state[State.SILENT]):
             if now - each.since >= min(limits.header_timeout_s, leaving_s) and each.is_idle:
-                each.close()
+                each.close(CloseReason.SILENT)
         for each in list(self._by_state[State.READING]):
             late = now - each.since >= limits.header_timeout_s
             if each.is_stuck(now, limits) if each.has_head else late:
@@ -585,21 +601,21 @@
                 each.look()
         for each in list(self._by_state[State.SERVING]):
             if each.is_unread(now, limits):
-                each.cut()
+                each.cut(CloseReason.UNREAD)
             elif each.is_reading_paused:
                 each.look()
         for each in list(self._by_state[State.RESTING]):
             if now - each.since < min(leaving_s, limits.idle_timeout_s):
                 break  # they stand in the order in which they came to rest
             if each.is_idle:  # else its answer is still on the way, or a further request
-                each.close()
+                each.close(CloseReason.IDLE)
             elif each.is_unread(now, limits):
-                each.cut()
+                each.cut(CloseReason.UNREAD)
         for each in list(self._by_state[State.ENDING]):
             if each.is_unsent:  # its time begins when all has left
                 each.since = now
                 if each.is_unread(now, limits):
-                    each.cut()
+                    each.cut(CloseReason.UNREAD)
             elif now - each.since >= limits.linger_s:
-                each.cut()
+                each.cut(CloseReason.LINGERED)
         self._sweep_later()
--- a/tulipnotch/sidecar/incoming.py
+++ b/tulipnotch/sidecar/incoming.py
@@ -36,7 +36,7 @@
 class Incoming:
     """A client's request, read and checked."""
 
-    service_class: str
+    kind: ServiceClass  # as the settings had it when the request began to come
     tenant: str | None
     key: int | None
     remaining_us: int
@@ -49,6 +49,11 @@
     body: Body
     is_chunked: bool  # on its way to a server: its length is not known yet
 
+    @property
+    def service_class(self) -> str:
+        """The name of its class."""
+        return self.kind.name
+
     def message(self, left_us: int) -> Request:
         """The same request as a server gets it, when the sidecar will wait for so long."""
         timeout = (b"request-timeout", b"%.3f" % (min(left_us, self.remaining_us) / 1e6))
@@ -99,7 +104,7 @@
         headers.append((b"content-length", b"%d" % length))
     tenant = own.get(b"tenant", b"").decode("latin-1")
     return Incoming(
-        service_class=kind.name,
+        kind=kind,
         tenant=tenant if any(each.name == tenant for each in settings.tenants) else None,
         key=_key(request.target),
         # Guards against a client that claims more time than its class has: each open request holds memory.
--- a/tulipnotch/sidecar/logs.py
+++ b/tulipnotch/sidecar/logs.py
@@ -47,7 +47,15 @@
     "readmitted": EventForm("info", "readmitted {server}"),
     "level": EventForm("warning", "level {now}, was {before} for {held_s:g} s: {reason}"),
     "message_unsent": EventForm("warning", "a message to other sidecars could not be sent"),
+    "invariant_broken": EventForm("error", "invariant broken: {invariant}: {about}"),
     "internal_error": EventForm("error", "internal error: {where}: {fault}"),
+    "request_taken": EventForm("info", "request {request}: taken, {kind}, {left_ms} ms left"),
+    "attempt_begun": EventForm("info", "request {request}: attempt {number} to {server}, after {after}"),
+    "attempt_written": EventForm("info", "request {request}: attempt {number} written"),
+    "attempt_ended": EventForm("info", "request {request}: attempt {number} ended, {outcome}"),
+    "request_ended": EventForm("info", "request {request}: answered with {status}"),
+    "connection_closed": EventForm("info", "a client's connection closed, {reason}"),
+    "phase_changed": EventForm("info", "now {phase}"),
     "left_out": EventForm("warning", "left out {count} lines"),
 }
 
--- a/tulipnotch/sidecar/program.py
+++ b/tulipnotch/sidecar/program.py
@@ -24,6 +24,7 @@
 from tulipnotch.sidecar.listener import adopt, listen, reserve_soon
 from tulipnotch.sidecar.logs import Format, LineLog, Log, LogLimits
 from tulipnotch.sidecar.sidecar import ServiceLevels, Sidecar, client_limits
+from tulipnotch.sidecar.trace import Trace
 
 if TYPE_CHECKING:
     from tulipnotch.settings.operator import OverloadTable  # msgspec is imported only for an operator file
@@ -40,6 +41,7 @@
     door: ControlLimits = field(default_factory=ControlLimits)
     clients: Mapping[str, float] = field(default_factory=dict)  # of ClientLimits, by name
     levels: ServiceLevels | None = None
+    traces_requests: bool = False  # whether the log tells the life of each request
 
 
 def installation(path: str | None) -> Installation:
@@ -59,6 +61,7 @@
             ControlLimits(**msgspec.structs.asdict(given.door)),
             msgspec.structs.asdict(given.clients),
             _levels(given.overload),
+            given.log.requests,
         )
     except ImportError as missing:
         raise ConfigError(
@@ -116,7 +119,12 @@
         lambda _, what: log("internal_error", where=what["message"], fault=repr(what.get("exception")))
     )
     sidecar = Sidecar(
-        config, log, client_limits(config, place.clients), place.levels, place.door.most_connections
+        config,
+        log,
+        client_limits(config, place.clients),
+        place.levels,
+        place.door.most_connections,
+        Trace(log) if place.traces_requests else None,
     )
     loop.add_signal_handler(signal.SIGHUP, reload, sidecar, log)
     signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})  # one may have come while the program loaded
--- a/tulipnotch/sidecar/sidecar.py
+++ b/tulipnotch/sidecar/sidecar.py
@@ -52,12 +52,14 @@
 from tulipnotch.sidecar.frontend import ClientLimits, ClientSide, Frontend
 from tulipnotch.sidecar.http1 import Headers, Request, Response
 from tulipnotch.sidecar.incoming import BadRequest, Incoming
+from tulipnotch.sidecar.invariants import CloseReason, Guard, Invariant, WrittenAttempt
 from tulipnotch.sidecar.lifecycle import Lifecycle, Phase
 from tulipnotch.sidecar.listener import listen, reserve_soon
 from tulipnotch.sidecar.logs import Log
 from tulipnotch.sidecar.peers import Peers
 from tulipnotch.sidecar.spent_requests import SpentRequests
 from tulipnotch.sidecar.telemetry import Result, Telemetry
+from tulipnotch.sidecar.trace import Trace
 from tulipnotch.sidecar.upstream import Call, Upstream, load_report
 
 RESERVED = 32  # descriptors for everything but clients, servers and operators
@@ -104,6 +106,7 @@
         "reading",
         "streamed",
         "whole_at",
+        "written",
     )
 
     def __init__(self, client: ClientSide, incoming: Incoming) -> None:
@@ -114,9 +117,15 @@
         self.whole_at = 0  # when the last byte of a request came that had to pass through
         self.incoming = incoming
         self.calls: list[Call] = []
+        self.written: dict[int, WrittenAttempt] = {}  # by number: those whose last byte has left
         self.out = 0
         self.last_outcome: Outcome | None = None
 
+    @property
+    def ident(self) -> str:
+        """The id that its client gave it, for records."""
+        return self.incoming.ident.decode("latin-1")
+
 
 @dataclass(frozen=True, slots=True)
 class _Attempt:
@@ -138,6 +147,7 @@
         limits: ClientLimits | None = None,
         levels: ServiceLevels | None = None,
         operators: int | None = None,  # connections that the door allows them; None: its default
+        trace: Trace | None = None,
     ) -> None:
         self.config = config
         if operators is None:
@@ -145,6 +155,7 @@
         # As many of them as the descriptors allow; fixed at the start, like the door itself.
         self.operators = min(operators, config.sockets - int(_FOR_WORK * config.sockets) - RESERVED)
         self._log = log
+        self._trace = trace
         self._settings = config.settings
         self._clock = Clock()
         self._balancer = Balancer(config.settings, config.seed)
@@ -155,15 +166,25 @@
         self._spent = SpentRequests()
         self._next_request = 1
         self._has_fresh_list = asyncio.Event()
+        self._has_waited = False  # for a list, in vain
         self._is_inherited = False  # whether other processes hold the listening socket too
         self._shares_room = False  # whether a second process of this sidecar may be running
         self._stop_by: int | None = None  # when all must be answered, once it drains
         self.lifecycle = Lifecycle()
+        if trace is not None:
+            self.lifecycle.on_change(lambda: trace.phase_changed(self.lifecycle.phase.value))
         self.telemetry = Telemetry(each.name for each in config.settings.classes)
+        self._guard = Guard(self._invariant_broken)
         self.frontend = Frontend(
-            config.settings, limits or client_limits(config), self.lifecycle, self._arrived, self._gone
+            config.settings,
+            limits or client_limits(config),
+            self.lifecycle,
+            self._arrived,
+            self._gone,
+            self._client_closed,
+            self._guard,
         )
-        self._upstream = Upstream(self._clock, config.settings)
+        self._upstream = Upstream(self._clock, config.settings, self._guard)
         self._divide_descriptors(config.sockets)
         self._discovery = discovery.Discovery(
             config.discovery,
@@ -213,10 +234,26 @@
             await self._freshly_listed(_FRESH_WITHIN_TAKEOVER_S)
             self.frontend.listen(inherited)
             asyncio.get_running_loop().call_later(_SHARED_FOR_S, self._alone)
+        has_looked = self._has_waited or self._has_fresh_list.is_set() or self._discovery.has_tried.is_set()
+        is_known = bool(self.config.known.entries) and not self._must_look
+        self._guard.check(is_known or has_looked, Invariant.SERVED_LISTED, self.config.name)
         self.lifecycle.started()
         if self._ladder is not None:
             self._read_pressure(self._ladder)
 
+    @property
+    def _must_look(self) -> bool:
+        """Whether the list that was known before the start is not enough to serve by."""
+        return self._is_inherited or self._settings.discovery is Discovery.PUSHED
+
+    def _client_closed(self, reason: CloseReason) -> None:
+        self.telemetry.client_closed(reason)
+        if self._trace is not None:
+            self._trace.connection_closed(reason)
+
+    def _invariant_broken(self, invariant: Invariant, about: str) -> None:
+        self._log("invariant_broken", invariant=invariant.value, about=about)
+
     def _read_pressure(self, ladder: Ladder) -> None:
         """Bring the ladder a reading, again and again, and its change of level to the decisions."""
         change = ladder.read(self._clock.now(), self._balancer.pressure())
@@ -235,6 +272,7 @@
             async with asyncio.timeout(within_s):
                 await received.wait()
         except TimeoutError:
+            self._has_waited = True
             self._log("no_fresh_list", waited_s=within_s)
 
     def _alone(self) -> None:
@@ -270,7 +308,12 @@
 
     def _figures(self) -> Sequence[str]:
         members, unavailable = self._balancer.members()
-        gauges = {"pending": self._pending(), "members": members, "members_unavailable": unavailable}
+        gauges = {
+            "pending": self._pending(),
+            "members": members,
+            "members_unavailable": unavailable,
+            "invariant_violations": self._guard.violations,
+        }
         if self._ladder is not None:
             gauges |= {"level": self._ladder.index, "level_changes": self._ladder.changes}
         return ["", *self.telemetry.lines(gauges), "."]
@@ -346,6 +389,7 @@
             if held is not None:
                 self._stream_ended(held, Outcome.CANCELLED)
         await asyncio.sleep(0)
+        self._guard.check(not self._owed, Invariant.STOPPED_UNOWED, str(len(self._owed)))
         self.close()
 
     async def _hand_over(self, until: float) -> None:
@@ -431,6 +475,7 @@
             raise BadRequest("request-id is that of an open request", 409)
         if most is not None and len(self._owed) >= most:
             self.telemetry.ended(incoming.service_class, Result.REJECTED)
+            self.telemetry.refused(None)
             client.answer(503, [], b"")
             return None
         now = self._clock.now()
@@ -446,6 +491,8 @@
         if coming:
             incoming.body.on_whole = lambda: self._whole(number)
         self._owed.add(incoming.ident)
+        if self._trace is not None:
+            self._trace.request_taken(self._open[number].ident, incoming.service_class, incoming.remaining_us)
         self._post(
             RequestArrived(
                 request=number,
@@ -483,25 +530,25 @@
         if held is not None:
             held.has_left = True
             self._remember_spent(held)
+            if self._trace is not None:
+                self._trace.request_ended(held.ident, 0)
         self._settle(request)
         self._post(RequestGone(request))
         self._forget_if_over(request)
 
     def _remember_spent(self, held: _Open) -> None:
         """Take a request no second time whose client has left, if it may have run and must not run twice."""
-        kind = next(
-            (each for each in self._settings.classes if each.name == held.incoming.service_class), None
-        )
-        may_run_again = kind is not None and repeat_rule.may_run_anywhere_again(kind)
-        if may_run_again or all(call.is_unwritten for call in held.calls):
+        kind = held.incoming.kind
+        if repeat_rule.may_run_anywhere_again(kind) or all(call.is_unwritten for call in held.calls):
             return
         now = self._clock.now()
-        lasts_us = held.incoming.remaining_us if kind is None else kind.deadline_us
-        self._spent.add(held.incoming.ident, now, now + lasts_us)
+        self._spent.add(held.incoming.ident, now, now + kind.deadline_us)
 
     def _attempt_ended(self, attempt: _Attempt, outcome: Outcome, response: Response | None) -> None:
         held = self._open[attempt.request]
         held.out -= 1
+        if self._trace is not None:
+            self._trace.attempt_ended(held.ident, attempt.number, outcome)
         if held.streamed == attempt.number:
             self._stream_ended(held, outcome)  # the decisions received it when it began
             self._forget_if_over(attempt.request)
@@ -520,6 +567,10 @@
         number, server = attempt.number, attempt.server
         # Whether it is answered is looked up when the event's turn comes.
         is_certain = held.calls[number].is_answer_certain
+        written = held.written.get(number)
+        if written is not None:
+            written.is_out = False
+            written.may_have_run = not self._settings.rules.never_ran(outcome, is_certain)
         self._post(
             AttemptEnded(attempt.request, number, server, outcome, elapsed, False, report, again, is_certain)
         )
@@ -537,6 +588,8 @@
             return None
         self._owed.add(held.incoming.ident)  # until its last byte
         held.reading, held.streamed = client, attempt.number
+        if self._trace is not None:
+            self._trace.request_ended(held.ident, head.status)
         client.begin(head.status, _passed_back(head), head.length, source)
         self._tell_end(held, attempt, Outcome.DELIVERED, head)
         return client
@@ -550,7 +603,7 @@
         if whole:
             client.finish()
         else:
-            client.cut()  # before its end, so that the client can tell
+            client.cut(CloseReason.ANSWER_BROKEN)  # before its end, so that the client can tell
 
     def _stream_over(self, held: _Open, result: Result) -> None:
         held.reading = None
@@ -568,9 +621,7 @@
             case Refuse():
                 self._refuse(action)
             case Fail():
-                held = self._open.get(action.request)
-                late = held is not None and held.last_outcome in (None, Outcome.EXPIRED)
-                self._answer(action.request, 504 if late else 502, [])
+                self._fail(action)
             case Cancel():
                 held = self._open.get(action.request)
                 if held is not None and action.attempt < len(held.calls):
@@ -609,8 +660,11 @@
         can_be_sent = body.is_repeatable and (held.out == 0 or not body.passes_through)
         until = action.until if can_be_sent else 0
 
+        self._note_attempt(held, attempt)
+
         def written() -> None:
             self.telemetry.attempt_written()
+            self._check_written(held, attempt, call)
             self._balancer.attempt_began(attempt.request, attempt.number, call.allowed_at)
             for other in held.calls:
                 if other is not call:
@@ -624,6 +678,28 @@
         held.out += 1
         self._upstream.start(call)
 
+    def _note_attempt(self, held: _Open, attempt: _Attempt) -> None:
+        """Count and trace an attempt, by what became of the one before."""
+        after = None if held.out else held.last_outcome
+        if held.calls:
+            self.telemetry.retried(after)
+        if self._trace is not None:
+            cause = "" if not held.calls else "overdue" if after is None else after.value
+            self._trace.attempt_begun(held.ident, attempt.number, attempt.server, cause)
+
+    def _check_written(self, held: _Open, attempt: _Attempt, call: Call) -> None:
+        """The last byte of an attempt leaves in this instant: look whether the rules let it."""
+        zone, cell = self._upstream.place(attempt.server)
+        new = WrittenAttempt(zone, cell, call.allowed_at)
+        is_waited_for = held.client is not None
+        self._guard.sending(held.ident, is_waited_for=is_waited_for, now=call.allowed_at, until=call.until)
+        second_copies = self._settings.limits.second_copies
+        before = held.written.values()
+        self._guard.repeating(held.ident, held.incoming.kind, new, before, second_copies=second_copies)
+        held.written[attempt.number] = new
+        if self._trace is not None:
+            self._trace.attempt_written(held.ident, attempt.number)
+
     def _probe(self, server: str) -> None:
         sent_at = self._clock.now()
         in_body = self._settings.report_source is not ReportSource.SILENT
@@ -635,7 +711,17 @@
         message = Request(b"GET", b"/_load" if in_body else b"/ping", [(b"host", server.encode())])
         self._upstream.start(Call(server, sent_at + _PROBE_WITHIN_US, lambda left_us: message, done))
 
+    def _fail(self, action: Fail) -> None:
+        held = self._open.get(action.request)
+        self.telemetry.given_up(action.reason)
+        is_late = held is not None and held.last_outcome in (None, Outcome.EXPIRED)
+        self._answer(action.request, 504 if is_late else 502, [])
+
     def _refuse(self, action: Refuse) -> None:
+        held = self._open.get(action.request)
+        self.telemetry.refused(action.reason)
+        if held is not None:
+            self._guard.refusing(held.ident, held.incoming.kind, held.written.values())
         headers: Headers = []
         if action.retry_after_us > 0 and self._settings.limits.retry_after:
             headers.append((b"retry-after", b"%.3f" % (action.retry_after_us / 1e6)))
@@ -665,6 +751,8 @@
         client = self._settle(request)
         if held is not None and client is not None:
             self.telemetry.ended(held.incoming.service_class, _RESULTS.get(status, Result.FAILED))
+            if self._trace is not None:
+                self._trace.request_ended(held.ident, status)
             client.answer(status, headers, body, length)
         self._forget_if_over(request)
 
--- a/tulipnotch/sidecar/telemetry.py
+++ b/tulipnotch/sidecar/telemetry.py
@@ -5,6 +5,13 @@
 from collections.abc import Iterable, Mapping
 from enum import Enum, unique
 
+from tulipnotch.decisions.interface import Outcome, Reason
+from tulipnotch.sidecar.invariants import CloseReason
+
+_OVERDUE = "overdue"  # in place of an outcome: the attempt before has none yet
+_MAX_OPEN = "max_open"  # in place of a reason: as many requests are open as the settings allow
+_RETRIED_AFTER = [each.value for each in Outcome if each not in (Outcome.DELIVERED, Outcome.REJECTED)]
+
 
 @unique
 class Result(Enum):
@@ -22,6 +29,10 @@
         self._ended: dict[str, dict[Result, int]] = {}
         self.upstream_requests = 0  # attempts written whole to servers
         self.upstream_requests_withheld = 0  # attempts not written whole, since their clients had gone
+        self._retries = dict.fromkeys([_OVERDUE, *_RETRIED_AFTER], 0)
+        self._refusals = dict.fromkeys([_MAX_OPEN, *(each.value for each in Reason)], 0)
+        self._failures = dict.fromkeys([each.value for each in Reason], 0)
+        self._client_closes = dict.fromkeys((each.value for each in CloseReason), 0)
         self.config_reloads = 0
         self.config_reload_errors = 0
         self.show(classes)
@@ -44,6 +55,22 @@
     def attempt_withheld(self) -> None:
         self.upstream_requests_withheld += 1
 
+    def retried(self, after: Outcome | None) -> None:
+        """A request goes to a further server, after this outcome or (None) while it waits for one."""
+        self._retries[_OVERDUE if after is None else after.value] += 1
+
+    def refused(self, reason: Reason | None) -> None:
+        """A request is refused, for this reason or (None) for as many as are open."""
+        self._refusals[_MAX_OPEN if reason is None else reason.value] += 1
+
+    def client_closed(self, reason: CloseReason) -> None:
+        """A client's connection has ended."""
+        self._client_closes[reason.value] += 1
+
+    def given_up(self, reason: Reason) -> None:
+        """A request is answered as failed."""
+        self._failures[reason.value] += 1
+
     def lines(self, gauges: Mapping[str, int]) -> list[str]:
         """All figures, one a line, after the gauges that their owners have read just now."""
         figures = {
@@ -55,6 +82,13 @@
         figures["upstream_requests_withheld"] = self.upstream_requests_withheld
         figures["config_reloads"] = self.config_reloads
         figures["config_reload_errors"] = self.config_reload_errors
+        for name, counts in (
+            ("client_closes", self._client_closes),
+            ("retries", self._retries),
+            ("refusals", self._refusals),
+            ("failures", self._failures),
+        ):
+            figures |= {f"{name}.{reason}": count for reason, count in counts.items()}
         return [f"app.{name}={value}" for name, value in (figures | dict(gauges)).items()]
 
 
--- a/tulipnotch/sidecar/upstream.py
+++ b/tulipnotch/sidecar/upstream.py
@@ -12,6 +12,7 @@
 from tulipnotch.sidecar.clock import Clock
 from tulipnotch.sidecar.discovery import Listing
 from tulipnotch.sidecar.http1 import KEPT, MOST_BODY, Request, Response, ResponseReader
+from tulipnotch.sidecar.invariants import Guard, Invariant
 
 _IDLE_MARGIN = 0.1  # of the idle limit: a connection this near to it may be closed at the far end by now
 # How long a connection rests after an answer.  A server may answer twice, the second time some milliseconds
@@ -100,11 +101,13 @@
 class _Server:
     """Where a server is reached, and the connections to the process that is there now."""
 
-    __slots__ = ("address", "idle", "is_leaving", "started_at")
+    __slots__ = ("address", "cell", "idle", "is_leaving", "started_at", "zone")
 
     def __init__(self, address: Address, started_at: int | None) -> None:
         self.address = address
         self.started_at = started_at
+        self.zone = ""
+        self.cell = 0
         self.is_leaving = False
         self.idle: list[_Idle] = []  # the most recently used last
 
@@ -112,8 +115,9 @@
 class Upstream:
     """All connections to servers, never more than `most`."""
 
-    def __init__(self, clock: Clock, settings: Settings) -> None:
+    def __init__(self, clock: Clock, settings: Settings, guard: Guard | None = None) -> None:
         self._clock = clock
+        self._guard = guard or Guard()
         self.obey(settings)
         self.most = 0  # connections; set by whoever knows how many descriptors there are
         self._servers: dict[str, _Server] = {}
@@ -150,6 +154,7 @@
                 # Guards against writing to what was there before under the same id.
                 self._drop(name)
                 server = self._servers[name] = _Server(address, entry.listed.started_at)
+            server.zone, server.cell = entry.listed.zone, entry.listed.cell
             server.is_leaving = entry.listed.state is not ServerState.READY
             if server.is_leaving:
                 self._close_idle(server)
@@ -309,6 +314,8 @@
             call.allowed_at = self._clock.now()
             if call.allowed_at >= call.latest_begin():
                 self._stop(call, Outcome.UNSENT)  # guards rule 2
+            elif call.allowed_at >= call.until:
+                self._stop(call, Outcome.DIAL_FAILED)  # its timer is late
             elif call.told_at is not None and call.allowed_at > call.told_at + _TOLD_LATE_US:
                 # Guards against a server that takes a request slowly, and believes that it has longer than
                 # the client waits: it never ran there, and another is told what is left now.
@@ -325,6 +332,7 @@
                 call.timer.cancel()  # its time is kept: from here on, progress counts
             return None if call.began is None else call.began(head, connection)
 
+        self._guard.check(self._is_ready(call.server, connection), Invariant.SENT_TO_READY, call.server)
         call.connection = connection
         now = self._clock.now()
         call.told_at = now if call.until < NEVER else None
@@ -337,6 +345,16 @@
             lambda: self._may_write(call),
         )
 
+    def _is_ready(self, name: str, connection: ClientConnection) -> bool:
+        """Whether the list has this server ready, and the connection leads to the process that is there."""
+        server = self._servers.get(name)
+        return server is not None and not server.is_leaving and self._owners.get(connection) is server
+
+    def place(self, name: str) -> tuple[str, int]:
+        """The zone and the cell of a server, as listed; empty and 0 where it has left."""
+        server = self._servers.get(name)
+        return ("", 0) if server is None else (server.zone, server.cell)
+
     # Connections
 
     async def _dial(self, call: Call, server: _Server) -> None:
