--- /dev/null
+++ b/tests/test_wall_clock.py
@@ -0,0 +1,84 @@
+"""A wall clock that is behind: a server can't have started later than now, whatever its list says."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import time
+from pathlib import Path
+from typing import Any
+
+import pytest
+from helpers import MS, START, S, Stage, names, settings
+from loopback import CLASSES, HOST, OK, Client, ScriptedServer, line, play, soon
+from running import GOOD, started
+from soak.shim import Shim, Word, built
+
+from tulipnotch.decisions.interface import ListedServer
+
+_HOUR_S = 3_600
+_COLD_S = 0.5
+
+
+@pytest.mark.parametrize("ahead_s", [1, _HOUR_S])
+def test_a_server_that_started_in_the_future_warms_up_from_now(ahead_s: int) -> None:
+    given = settings()
+    cold_us = given.rules.cold_us
+    scene = Stage(given)
+    scene.servers([ListedServer(each, zone="east", started_at=START + ahead_s * S) for each in names(4)])
+    slow_start = scene.balancer._parts.slow_start
+    servers = list(scene.balancer._context.servers.values())
+    assert all(slow_start.is_cold(each) for each in servers)
+    scene.wait(cold_us + 1 * MS)
+    assert not any(slow_start.is_cold(each) for each in servers)
+
+
+def test_a_server_that_is_readmitted_is_no_colder_for_a_start_in_the_future() -> None:
+    given = settings()
+    scene = Stage(given)
+    scene.servers([ListedServer(each, zone="east", started_at=START + _HOUR_S * S) for each in names(4)])
+    scene.wait(given.rules.cold_us + 1 * MS)
+    outliers = scene.balancer._parts.outliers
+    server = next(iter(scene.balancer._context.servers.values()))
+    outliers._eject(server, "error")
+    outliers.readmit(server)
+    assert not scene.balancer._parts.slow_start.is_cold(server)
+
+
+def test_a_process_whose_clock_is_an_hour_behind_serves_as_one_whose_clock_is_true(tmp_path: Path) -> None:
+    async def work() -> None:
+        server = await ScriptedServer(OK).start()
+        listed = line("s-1", server.address, started_ms=time.time_ns() // 1_000_000)
+        guarantees = {"coldUs": int(_COLD_S * 1e6), "coldFrom": 0.1, "fallMultiple": 1.0, "fallUs": 500_000}
+        given: dict[str, Any] = {
+            **GOOD,
+            "known": {"version": 1, "full": True, "servers": [listed]},
+            "settings": {
+                "lanes": CLASSES,
+                "discovery": "on_request",
+                "guarantees": guarantees,
+                "groupSize": 8,
+            },
+        }
+        config = tmp_path / "config.json"
+        config.write_text(json.dumps(given))
+        shim = Shim(built(tmp_path), tmp_path / "words")
+        shim.put(Word.WALL_OFFSET_NS, -_HOUR_S * 10**9)
+        process = await started(config, **shim.environ)
+        try:
+            assert process.stderr is not None
+            while b"serves on" not in (said := await soon(process.stderr.readline())):
+                assert said
+            port = int(said.split(b":")[1].split(b",")[0])
+            client = Client(*await asyncio.open_connection(HOST, port))
+            served = 0
+            async with asyncio.timeout(10 * _COLD_S):
+                while served < 50:
+                    served = served + 1 if (await client.ask("check")).status == 200 else 0
+            client.close()
+        finally:
+            process.kill()
+            await process.wait()
+            server.stop()
+
+    play(work)
