Take no server for one that starts in the future

Cause: a list tells starts in wall time. A process whose clock was behind as it started (or was stepped then) had each server that started since in its future; warmth stayed at its least until then, an hour, and nearly every request was refused. Change: SlowStart.turned_cold counts a start no later than now; whether the list told it is kept by itself, so that a readmission does not begin it anew.

--- a/tests/test_wall_clock.py
+++ b/tests/test_wall_clock.py
@@ -30,6 +30,7 @@
     servers = list(scene.balancer._context.servers.values())
     assert all(slow_start.is_cold(each) for each in servers)
     scene.wait(cold_us + 1 * MS)
+    scene.request()
     assert not any(slow_start.is_cold(each) for each in servers)
 
 
@@ -38,6 +39,7 @@
     scene = Stage(given)
     scene.servers([ListedServer(each, zone="east", started_at=START + _HOUR_S * S) for each in names(4)])
     scene.wait(given.rules.cold_us + 1 * MS)
+    scene.request()
     outliers = scene.balancer._parts.outliers
     server = next(iter(scene.balancer._context.servers.values()))
     outliers._eject(server, "error")
--- a/tulipnotch/decisions/outlier_detection.py
+++ b/tulipnotch/decisions/outlier_detection.py
@@ -93,7 +93,7 @@
         if is_trial and outcome is Outcome.DIAL_FAILED:
             # Its process ended, and another may come before the list says so.  Connections that break say
             # less: the network may do that, and a fleet taken for cold has no room for anyone.
-            self._slow_start.turned_cold(server, self._context.now)
+            self._slow_start.turned_cold(server)
 
     def eject_silent(self, server: Server) -> None:
         """Eject a server that has answered nothing for long, unless too many are ejected already."""
@@ -123,8 +123,8 @@
         self._load.server_readmitted(server)
         server.ejections = 0
         server.consecutive_failures = 0
-        if server.cold_since is not None and server.cold_since != server.started_at:
-            self._slow_start.turned_cold(server, self._context.now)
+        if server.cold_since is not None and not server.is_start_listed:
+            self._slow_start.turned_cold(server)
         self._context.actions.append(Note("readmitted", server.name))
 
     def forget(self, server: Server) -> None:
--- a/tulipnotch/decisions/records.py
+++ b/tulipnotch/decisions/records.py
@@ -30,6 +30,7 @@
         "ejections",
         "idle_since",
         "in_flight",
+        "is_start_listed",
         "last_answer_at",
         "latency_ratio",
         "name",
@@ -51,6 +52,7 @@
         self.state = ServerState.GONE
         self.started_at: int | None = None
         self.cold_since: int | None = None
+        self.is_start_listed = False  # whether that is the start that the list tells
         self.allowance: Allowance | None = None  # of a cold server
         self.in_flight = 0
         self.abandoned: list[int] = []  # when each abandoned attempt stops counting as in flight
--- a/tulipnotch/decisions/slow_start.py
+++ b/tulipnotch/decisions/slow_start.py
@@ -72,11 +72,11 @@
         self._context = context
         self._capacity = capacity
 
-    def turned_cold(self, server: Server, since: int) -> None:
-        """A server's process started at this clock time, or has to be taken for one that did."""
+    def turned_cold(self, server: Server, started_at: int | None = None) -> None:
+        """A server's process started then, by the list, or just now; one in the future has a wrong clock."""
         settings = self._context.settings
-        server.cold_since = since
-        started_at = since if since == server.started_at else None
+        server.cold_since = min(self._context.now if started_at is None else started_at, self._context.now)
+        server.is_start_listed = started_at is not None
         chance = self._context.random.random()
         begins_with = phase(server.name, started_at, settings.me, settings.group_size, chance)
         server.allowance = Allowance(self._context.now, begins_with)
