Count the time that a request lay unread while accept failed

Cause: a request's time ran from when it was read. Change: the acceptor keeps since when its calls have failed; the first request of a connection taken then has that much less time.

--- a/tests/test_accept_faults.py
+++ b/tests/test_accept_faults.py
@@ -8,11 +8,12 @@
 import socket
 
 import pytest
-from loopback import HOST, play, soon, until
+from loopback import HOST, OK, play, request, soon, stage, until
 
 from tulipnotch.sidecar.listener import Acceptor, bind
 
 _CLIENTS = 3
+_WAITED_S = 0.5
 # Of one connection, gone by now or broken on the way; and of this machine, for a moment.
 _FAULTS = [
     errno.ECONNABORTED,
@@ -60,7 +61,7 @@
     async def work() -> None:
         listener = _listener(fault, fault)
         served: list[asyncio.BaseTransport] = []
-        acceptor = Acceptor(listener, lambda: _Served(served))
+        acceptor = Acceptor(listener, lambda _: _Served(served))
         clients = [socket.create_connection(listener.getsockname()) for _ in range(_CLIENTS)]
         async with asyncio.timeout(5.0):
             while not acceptor.take_waiting():
@@ -84,7 +85,7 @@
         most = 1_000
         listener = _listener(*[fault] * most)
         served: list[asyncio.BaseTransport] = []
-        acceptor = Acceptor(listener, lambda: _Served(served))
+        acceptor = Acceptor(listener, lambda _: _Served(served))
         with socket.create_connection(listener.getsockname()):
             for _ in range(most):
                 await asyncio.sleep(0)  # a round of the event loop
@@ -101,7 +102,7 @@
     async def work() -> None:
         served: list[asyncio.BaseTransport] = []
         listener = _listener(errno.ECONNABORTED)
-        acceptor = Acceptor(listener, lambda: _Served(served))
+        acceptor = Acceptor(listener, lambda _: _Served(served))
         _, writer = await soon(asyncio.open_connection(*listener.getsockname()))
         await until(lambda: len(served) == 1)
         writer.close()
@@ -109,3 +110,27 @@
         acceptor.close()
 
     play(work)
+
+
+def test_a_request_that_lay_unread_while_calls_failed_has_that_much_less_time() -> None:
+    # Its client counts from when it was sent, and so does what its server is told.
+    async def work() -> None:
+        async with stage(OK) as scene:
+            acceptor = scene.sidecar.frontend._acceptor
+            assert acceptor is not None
+            plain = acceptor._listener
+            failing = _FaultyListener(fileno=os.dup(plain.fileno()))
+            failing.setblocking(False)
+            failing.faults = [errno.ENFILE]
+            acceptor._listener = failing
+            acceptor._accept()
+            assert acceptor._failing_since is not None
+            acceptor._failing_since -= _WAITED_S
+            client = socket.create_connection(plain.getsockname())
+            client.sendall(request("check", timeout="2.0"))
+            await until(lambda: len(scene.heard) == 1)
+            assert float(scene.heard[0].headers["request-timeout"]) <= 2.0 - _WAITED_S
+            client.close()
+            plain.close()
+
+    play(work)
--- a/tulipnotch/sidecar/control.py
+++ b/tulipnotch/sidecar/control.py
@@ -48,7 +48,7 @@
 
     def take(self, listener: socket.socket) -> None:
         """Open the door on a socket that listens."""
-        self._acceptor = Acceptor(listener, lambda: _Caller(self))
+        self._acceptor = Acceptor(listener, lambda _: _Caller(self))
 
     @property
     def port(self) -> int:
--- a/tulipnotch/sidecar/frontend.py
+++ b/tulipnotch/sidecar/frontend.py
@@ -83,8 +83,9 @@
 class ClientSide(asyncio.BufferedProtocol):
     """One connection of the application, one request at a time."""
 
-    def __init__(self, frontend: Frontend) -> None:
+    def __init__(self, frontend: Frontend, waited_s: float = 0.0) -> None:
         self._frontend = frontend
+        self._waited_s = waited_s  # how long its first request may have lain unread, before it was accepted
         self._reader = RequestReader()
         self._transport: asyncio.Transport | None = None
         self._poll = select.poll()
@@ -410,7 +411,12 @@
             self.cut(CloseReason.CLIENT_LEFT)  # it sent this ahead, and did not wait for it
             return
         try:
-            self._owed = self._frontend.arrived(self, self._frontend.read(request, self._classes))
+            incoming = self._frontend.read(request, self._classes)
+            if request.body.is_whole:
+                # Its time runs from when its client sent it, and servers are told what is left of that.
+                incoming.remaining_us = max(incoming.remaining_us - int(self._waited_s * 1e6), 1)
+            self._waited_s = 0.0
+            self._owed = self._frontend.arrived(self, incoming)
             if self._owed is not None and not request.body.is_whole:
                 request.body.on_taken = self._resume_reading
                 self._pass_through()
@@ -449,7 +455,7 @@
 
     def listen(self, listener: socket.socket) -> None:
         """Take clients from this listening socket on."""
-        self._acceptor = Acceptor(listener, lambda: ClientSide(self))
+        self._acceptor = Acceptor(listener, lambda waited_s: ClientSide(self, waited_s))
         self._sweep_later()
 
     @property
--- a/tulipnotch/sidecar/listener.py
+++ b/tulipnotch/sidecar/listener.py
@@ -110,11 +110,13 @@
 class Acceptor:
     """Accepts connections of one listening socket, each for a protocol of its own."""
 
-    def __init__(self, listener: socket.socket, protocol: Callable[[], asyncio.BaseProtocol]) -> None:
+    def __init__(self, listener: socket.socket, protocol: Callable[[float], asyncio.BaseProtocol]) -> None:
+        """`protocol` is given how long (s) its connection may have waited, since calls before had failed."""
         self._listener = listener
         self._protocol = protocol
         self._accepting: set[asyncio.Task[None]] = set()
         self._rest: asyncio.TimerHandle | None = None  # until the next call, where there was no room
+        self._failing_since: float | None = None  # since when no call has found all connections taken
         self.port = int(listener.getsockname()[1])
         self._listen()
 
@@ -135,7 +137,7 @@
         """
         if self._listener.fileno() < 0:
             return True
-        for _ in range(_LONGEST_QUEUE):
+        for _ in range(_WAITING):
             accepted = self._accept_one()
             if accepted in (_Accepted.NONE_WAITS, _Accepted.NO_ROOM):
                 return accepted is _Accepted.NONE_WAITS
@@ -156,32 +158,38 @@
         Guards the limit on descriptors: event loops accept all that is there before any of it is counted, so
         hundreds that connect at once would take every one.
         """
+        accepted = _Accepted.TAKEN
         for _ in range(_ACCEPTED_AT_ONCE - len(self._accepting)):
             accepted = self._accept_one()
-            if accepted is _Accepted.NONE_WAITS:
-                return
-            if accepted is _Accepted.NO_ROOM:
-                # Guards against a call a round that takes the whole core: whoever waits keeps it readable.
-                loop = asyncio.get_running_loop()
-                loop.remove_reader(self._listener.fileno())
-                self._rest = loop.call_later(_REST_S, self._listen)
-                return
+            if accepted in (_Accepted.NONE_WAITS, _Accepted.NO_ROOM):
+                break
+        if accepted in (_Accepted.BROKEN, _Accepted.NO_ROOM):
+            # Guards against a call a round that takes the whole core: whoever waits keeps it readable.
+            loop = asyncio.get_running_loop()
+            loop.remove_reader(self._listener.fileno())
+            self._rest = loop.call_later(_REST_S, self._listen)
 
     def _accept_one(self) -> _Accepted:
+        now = asyncio.get_running_loop().time()
         try:
             accepted, _ = self._listener.accept()
         except OSError as fault:
-            if fault.errno in _NO_ROOM:
-                return _Accepted.NO_ROOM
-            return _Accepted.BROKEN if fault.errno in _BROKEN else _Accepted.NONE_WAITS
+            if fault.errno not in (*_NO_ROOM, *_BROKEN):
+                self._failing_since = None
+                return _Accepted.NONE_WAITS
+            if self._failing_since is None:
+                self._failing_since = now
+            return _Accepted.NO_ROOM if fault.errno in _NO_ROOM else _Accepted.BROKEN
         accepted.setblocking(False)
-        task = asyncio.get_running_loop().create_task(self._connect(accepted))
+        waited_s = 0.0 if self._failing_since is None else now - self._failing_since
+        task = asyncio.get_running_loop().create_task(self._connect(accepted, waited_s))
         self._accepting.add(task)
         task.add_done_callback(self._accepting.discard)
         return _Accepted.TAKEN
 
-    async def _connect(self, accepted: socket.socket) -> None:
+    async def _connect(self, accepted: socket.socket, waited_s: float) -> None:
         try:
-            await asyncio.get_running_loop().connect_accepted_socket(self._protocol, accepted)
+            loop = asyncio.get_running_loop()
+            await loop.connect_accepted_socket(lambda: self._protocol(waited_s), accepted)
         except OSError:
             accepted.close()  # the peer was quicker
