--- /dev/null
+++ b/tests/test_invariants.py
@@ -0,0 +1,219 @@
+"""The invariants of a running process: each shows where a gate is taken out, and none where all hold."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from typing import Any
+
+import pytest
+from barriers import ManualClock, server_line, tell
+from loopback import ERROR, FULL, OK, Heard, Stage, holding, play, request, stage, until
+
+from tulipnotch.decisions import repeat_rule
+from tulipnotch.decisions.balancer import Balancer
+from tulipnotch.decisions.interface import Group, Repeat, ServiceClass
+from tulipnotch.decisions.retry_policy import RetryPolicy
+from tulipnotch.sidecar.frontend import ClientSide
+from tulipnotch.sidecar.invariants import CloseReason, Guard, Invariant, WrittenAttempt
+from tulipnotch.sidecar.upstream import Upstream
+
+_KEYED = ServiceClass("amend", 2_000_000, 500_000, repeat=Repeat.KEYED, group=Group.CELL, memory_us=1_000_000)
+_ZONED = ServiceClass("amend", 2_000_000, 500_000, repeat=Repeat.KEYED, group=Group.ZONE, memory_us=1_000_000)
+_UNSAFE = ServiceClass("lodge", 2_000_000, 500_000, repeat=Repeat.UNSAFE)
+_SAFE = ServiceClass("check", 2_000_000, 500_000, repeat=Repeat.SAFE)
+
+
+def _written(zone: str = "a", cell: int = 1, at: int = 0, **other: bool) -> WrittenAttempt:
+    return WrittenAttempt(zone, cell, at, **{"is_out": False, **other})
+
+
+@pytest.mark.parametrize(
+    ("kind", "before", "new", "holds"),
+    [
+        (_SAFE, _written(), _written(at=9_000_000, cell=2), True),
+        (_UNSAFE, _written(), _written(at=1), False),
+        (_UNSAFE, _written(may_have_run=False), _written(at=1), True),
+        (_KEYED, _written(), _written(at=999_999), True),
+        (_KEYED, _written(), _written(at=1_000_000), False),
+        (_KEYED, _written(), _written(at=1, cell=2), False),
+        (_KEYED, _written(may_have_run=False), _written(at=1, cell=2), True),
+        (_ZONED, _written(), _written(at=1, cell=2), True),
+        (_ZONED, _written(), _written(at=1, zone="b"), False),
+    ],
+)
+def test_a_repeat_is_checked_by_the_words_of_its_class(
+    kind: ServiceClass, before: WrittenAttempt, new: WrittenAttempt, holds: bool
+) -> None:
+    guard = Guard()
+    guard.repeating("r-1", kind, new, [before], second_copies=True)
+    assert guard.broken[Invariant.REPEATED_IN_BOUNDS] == (not holds)
+    assert guard.violations == (not holds)
+
+
+def test_a_second_copy_is_checked_by_the_settings() -> None:
+    for second_copies in (True, False):
+        guard = Guard()
+        guard.repeating("r-1", _SAFE, _written(), [_written(is_out=True)], second_copies=second_copies)
+        assert guard.broken[Invariant.REPEATED_ALONE] == (not second_copies)
+
+
+async def _two_servers(scene: Stage) -> None:
+    """Ask for something unsafe while the first server breaks off what it has, and the second is well."""
+    first, second = scene.servers
+    await tell(scene, server_line(0, first.address))
+    client = await scene.client()
+    client.send(request("lodge"))
+    await until(lambda: len(first.heard) == 1)
+    await tell(scene, server_line(1, second.address))
+    first.hang_up()
+    await client.answer()
+
+
+def _repeats_anything(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr(repeat_rule, "begin_by", lambda *given: 2**62)
+    patch.setattr(repeat_rule, "is_in_group", lambda *given: True)
+
+
+def _refuses_anything(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr(RetryPolicy, "is_refusal_harmless", lambda *given: True)
+
+
+@pytest.mark.parametrize(
+    ("defect", "invariant"),
+    [
+        (None, None),
+        (_repeats_anything, Invariant.REPEATED_IN_BOUNDS),
+        (_refuses_anything, Invariant.REFUSED_UNRUN),
+    ],
+    ids=["none", "repeats anything", "refuses anything"],
+)
+def test_a_gate_that_is_taken_out_shows(
+    defect: Callable[[pytest.MonkeyPatch], None] | None,
+    invariant: Invariant | None,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    if defect is not None:
+        defect(monkeypatch)
+
+    async def work() -> None:
+        async def silent(heard: Heard) -> None:
+            return None
+
+        async with stage(silent, OK, listed=False) as scene:
+            await _two_servers(scene)
+            broken = [each for each, count in scene.sidecar._guard.broken.items() if count]
+            assert broken == ([] if invariant is None else [invariant])
+            assert any("invariant broken" in each for each in scene.log) == (invariant is not None)
+            (figure,) = [each for each in scene.sidecar._figures() if "invariant_violations" in each]
+            assert figure == f"app.invariant_violations={len(broken)}"
+
+    play(work)
+
+
+def test_a_write_for_a_client_that_has_left_shows(monkeypatch: pytest.MonkeyPatch) -> None:
+    # The gate before each write is taken out, and so is what withdraws an attempt.
+    monkeypatch.setattr(Upstream, "_may_write", lambda upstream, call: True)
+    monkeypatch.setattr(Upstream, "withdraw", lambda upstream, call: None)
+
+    async def work() -> None:
+        async with stage(OK) as scene:
+            client = await scene.client()
+            monkeypatch.setattr(Balancer, "latest_begin", lambda *given: 2**62)
+            held: list[Any] = []
+            exchange = scene.sidecar._upstream._write
+
+            def late(call: Any, connection: Any) -> None:
+                held.append((call, connection))
+
+            monkeypatch.setattr(scene.sidecar._upstream, "_write", late)
+            client.send(request("check"))
+            await until(lambda: bool(held))
+            client.close()
+            await until(lambda: all(each.client is None for each in scene.sidecar._open.values()))
+            exchange(*held[0])
+            assert scene.sidecar._guard.broken[Invariant.SENT_FOR_A_CLIENT] == 1
+
+    play(work)
+
+
+def test_a_write_whose_time_is_up_is_ended_though_its_timer_is_late(monkeypatch: pytest.MonkeyPatch) -> None:
+    clock = ManualClock(monkeypatch)
+
+    async def work() -> None:
+        async with stage(OK, OK) as scene:
+            held: list[Any] = []
+            put_to_use = scene.sidecar._upstream._put_to_use
+
+            def late(call: Any, server: Any, connection: Any) -> bool:
+                held.append((call, server, connection))
+                return True
+
+            monkeypatch.setattr(scene.sidecar._upstream, "_put_to_use", late)
+            client = await scene.client()
+            client.send(request("check", timeout="1.0"))
+            await until(lambda: bool(held))
+            clock.advance(1_000_000)
+            monkeypatch.undo()
+            put_to_use(*held[0])
+            assert (await client.answer()).status in (503, 504)
+            assert scene.heard == []
+            assert scene.sidecar._guard.violations == 0
+
+    play(work)
+
+
+def test_an_end_with_an_answer_owed_shows_unless_the_client_left_it() -> None:
+    async def work() -> None:
+        release, hold = holding()
+        async with stage(hold) as scene:
+            client = await scene.client()
+            client.send(request("check"))
+            await until(lambda: len(scene.heard) == 1)
+            (side,) = scene.sidecar.frontend.connections()
+            assert isinstance(side, ClientSide)
+            side.close(CloseReason.IDLE)
+            assert scene.sidecar._guard.broken[Invariant.CLOSED_UNOWED] == 1
+            release.set()
+
+    play(work)
+
+
+def test_reasons_are_counted_for_closes_retries_and_refusals() -> None:
+    answers = iter([FULL, ERROR, OK])
+
+    async def work() -> None:
+        async def script(heard: Heard) -> bytes:
+            return next(answers)
+
+        async with stage(script, script, script) as scene:
+            client = await scene.client()
+            assert (await client.ask("check")).status == 200
+            client.close()
+            await until(lambda: not scene.sidecar.frontend.open_connections)
+            figures = dict(each.partition("=")[::2] for each in scene.sidecar._figures())
+            assert figures["app.retries.full"] == figures["app.retries.error"] == "1"
+            assert figures["app.client_closes.client_left"] == "1"
+            assert figures["app.invariant_violations"] == "0"
+
+    play(work)
+
+
+def test_a_request_is_told_from_its_arrival_to_its_end_where_the_trace_is_on() -> None:
+    from tulipnotch.sidecar.trace import Trace
+
+    async def work() -> None:
+        async with stage(ERROR, OK) as scene:
+            scene.sidecar._trace = Trace(scene.sidecar._log)
+            first, second = scene.servers
+            await tell(scene, server_line(0, first.address))
+            await scene.ask("check", Request_Id="r-7")
+            await asyncio.sleep(0)
+            own = [each for each in scene.log if each.startswith("request r-7: ")]
+            assert own[0] == "request r-7: taken, check, 2000 ms left"
+            assert any("attempt 0 to s-" in each for each in own)
+            assert "request r-7: attempt 0 written" in own
+            assert any(each.startswith("request r-7: answered with ") for each in own)
+            assert second is not first
+
+    play(work)
