--- a/tests/soak/discovery.py
+++ b/tests/soak/discovery.py
@@ -9,7 +9,7 @@
 from enum import Enum, unique
 
 from soak.records import Announced, Records, now
-from soak.servers import HOST, OrderServer
+from soak.servers import HOST, OrderServer, next_port
 
 
 @unique
@@ -67,7 +67,7 @@
 
     async def start(self) -> None:
         for _ in range(2):
-            self._servers.append(await asyncio.start_server(self._serve, HOST, 0))
+            self._servers.append(await asyncio.start_server(self._serve, HOST, next_port()))
 
     def address(self, place: int) -> str:
         """Its first or second address."""
--- a/tests/soak/play.py
+++ b/tests/soak/play.py
@@ -6,7 +6,6 @@
 import asyncio
 import json
 import random
-import socket
 import sys
 import tempfile
 import time
@@ -22,7 +21,7 @@
 from soak.discovery import Catalog, Discovery
 from soak.oracle import Oracle
 from soak.records import Effect, Records, RequestClass, now
-from soak.servers import HOST, FaultProxy, OrderServer
+from soak.servers import HOST, FaultProxy, OrderServer, next_port
 from soak.shim import Word, built
 from soak.sidecars import Place
 from soak.troubles import TROUBLES
@@ -183,9 +182,7 @@
         self._busy.add(place.number)
         old, old_life = place.process, place.life
         try:
-            with socket.socket() as door:
-                door.bind((HOST, 0))
-                place.control = door.getsockname()
+            place.control = (HOST, next_port())
             place.configure(control=_text(place.control), seed=f"{self.chance.getrandbits(32):x}")
             await place.start()
             new, new_life = place.process, place.life
--- a/tests/soak/servers.py
+++ b/tests/soak/servers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import os
 import random
 import socket
@@ -17,9 +18,16 @@
 # Each run has its own address: no other takes a port that a process closes and opens again, nor does the
 # system give one of it to a connection that goes out.
 HOST = f"127.{64 + os.getpid() % 64}.{1 + os.getpid() // 64 % 254}.1"
+# Below the ports that the system gives: one that is closed for a while stays its owner's.
+_ports = itertools.count(20_000)
 _RESET = struct.pack("ii", 1, 0)
 
 
+def next_port() -> int:
+    """A port that nobody else of this run has."""
+    return next(_ports)
+
+
 @dataclass(slots=True)
 class ServerFaults:
     """Chances from 0 to 1 of what befalls a connection or a request on its way, and what holds for all."""
@@ -289,15 +297,16 @@
         self.server, self.records, self.chance = server, records, chance
         self.passages: set[_Passage] = set()
         self.backend_port = 0
-        self._port = 0
+        self._port = next_port()
         self._listener: asyncio.Server | None = None
         self._backend: asyncio.Server | None = None
 
     async def start(self) -> None:
         """Listen, and have the list tell where."""
         loop = asyncio.get_running_loop()
-        self._backend = await loop.create_server(lambda: _Backend(self.server, self.chance), HOST, 0)
-        self.backend_port = self._backend.sockets[0].getsockname()[1]
+        self._backend = await loop.create_server(
+            lambda: _Backend(self.server, self.chance), HOST, next_port()
+        )
         await self.come_back()
 
     async def come_back(self) -> None:
@@ -310,7 +319,6 @@
                 )
             except OSError:
                 await asyncio.sleep(0.05)
-        self._port = self._listener.sockets[0].getsockname()[1]
         self.server.address = f"{HOST}:{self._port}"
 
     def crash(self) -> None:
--- a/tests/soak/sidecars.py
+++ b/tests/soak/sidecars.py
@@ -12,7 +12,7 @@
 from typing import Any
 
 from soak.records import Life, Records, RequestClass, now
-from soak.servers import HOST
+from soak.servers import HOST, next_port
 from soak.shim import Shim
 
 _ROOT = Path(__file__).parent.parent.parent
@@ -40,11 +40,8 @@
         self._records = records
         self._listener: socket.socket | None = None
         self._logs: set[asyncio.Task[None]] = set()
-        with socket.socket() as free, socket.socket() as door:
-            free.bind((HOST, 0))
-            door.bind((HOST, 0))
-            self.address: tuple[str, int] = free.getsockname()
-            self.control: tuple[str, int] = door.getsockname()
+        self.address = (HOST, next_port())
+        self.control = (HOST, next_port())
         if is_inherited:
             self._listener = socket.create_server(self.address, backlog=1_024)
 
