--- a/tests/soak/discovery.py
+++ b/tests/soak/discovery.py
@@ -107,6 +107,8 @@
         told = await self._told(head)
         if self.mood is Mood.SILENT:
             return True  # what is due is never written, and the connection stays
+        if writer.transport.is_closing():
+            return False  # it was reset while the answer was due
         body = json.dumps(told).encode()
         writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body))
         self._note(told)
