--- a/tests/barriers.py
+++ b/tests/barriers.py
@@ -108,6 +108,17 @@
             self.accepted.close()
 
 
+def narrow_connections(patch: pytest.MonkeyPatch) -> None:
+    """Connections to servers hold little: the rest of a request waits in this process."""
+    made = client.ClientConnection.connection_made
+
+    def connection_made(self: client.ClientConnection, transport: asyncio.BaseTransport) -> None:
+        transport.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4_096)
+        made(self, transport)
+
+    patch.setattr(client.ClientConnection, "connection_made", connection_made)
+
+
 def reset(heard: Heard) -> None:
     """End the connection that a request came on by a reset, at once."""
     plain = socket.socket(fileno=os.dup(heard.writer.get_extra_info("socket").fileno()))
--- a/tests/test_never_ran.py
+++ b/tests/test_never_ran.py
@@ -10,7 +10,7 @@
 from typing import Any
 
 import pytest
-from barriers import Fate, HeldDials, Kernel, NarrowServer, reset, server_line, tell
+from barriers import Fate, HeldDials, Kernel, NarrowServer, narrow_connections, reset, server_line, tell
 from loopback import ERROR, FULL, HOST, OK, Client, Heard, Stage, play, reply, request, stage, until
 
 from tulipnotch.sidecar import upstream
@@ -22,17 +22,6 @@
 _REFUSED = (429, 503)
 
 
-def _narrow(patch: pytest.MonkeyPatch) -> None:
-    """Connections to servers hold little: the rest of a request waits in this process."""
-    made = ClientConnection.connection_made
-
-    def connection_made(self: ClientConnection, transport: asyncio.BaseTransport) -> None:
-        transport.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4_096)
-        made(self, transport)
-
-    patch.setattr(ClientConnection, "connection_made", connection_made)
-
-
 # Writes
 
 _GOES = ["reset", "fin", "refusal"]
@@ -57,7 +46,7 @@
     used: bool, how: str, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     # It goes elsewhere, and its first server never gets the last byte.
-    _narrow(monkeypatch)
+    narrow_connections(monkeypatch)
     monkeypatch.setattr(upstream, "_REST_US", 0)
 
     async def work() -> None:
@@ -94,7 +83,7 @@
     how: str, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     # Most of it waited in this process; the server ends its side in the step in which it reads the last byte.
-    _narrow(monkeypatch)
+    narrow_connections(monkeypatch)
 
     async def work() -> None:
         server = NarrowServer()
--- a/tests/test_repeat_bounds.py
+++ b/tests/test_repeat_bounds.py
@@ -8,7 +8,6 @@
 
 import asyncio
 import os
-import socket
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
@@ -16,13 +15,12 @@
 from typing import Any
 
 import pytest
-from barriers import HeldDials, ManualClock, NarrowServer, reset, server_line, tell
+from barriers import HeldDials, ManualClock, NarrowServer, narrow_connections, reset, server_line, tell
 from loopback import CLASSES, FULL, OK, Client, Heard, ScriptedServer, Stage, play, request, stage, until
 from slow_to_accept import SlowToAccept
 
 from tulipnotch.decisions.interface import TimerFired
 from tulipnotch.sidecar import client, upstream
-from tulipnotch.sidecar.client import ClientConnection
 from tulipnotch.sidecar.config import parse
 from tulipnotch.sidecar.http1 import KEPT
 
@@ -336,17 +334,6 @@
 # A last byte that the network takes late
 
 
-def _narrow(patch: pytest.MonkeyPatch) -> None:
-    """Connections to servers hold little: the rest of a request waits in this process."""
-    made = ClientConnection.connection_made
-
-    def connection_made(self: ClientConnection, transport: asyncio.BaseTransport) -> None:
-        transport.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4_096)
-        made(self, transport)
-
-    patch.setattr(ClientConnection, "connection_made", connection_made)
-
-
 _BODY = b"x" * 60_000 + b"the end"  # all of it is kept, so that it can be sent again
 
 
@@ -374,7 +361,7 @@
     group: str, end: str, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     # The server reads on in the instant in which the window is over: no timer has had its turn.
-    _narrow(monkeypatch)
+    narrow_connections(monkeypatch)
     clock = ManualClock(monkeypatch)
 
     async def work() -> None:
@@ -392,7 +379,7 @@
     end: str, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     # As above, where timers come in time; the clock runs from here on.
-    _narrow(monkeypatch)
+    narrow_connections(monkeypatch)
     clock = ManualClock(monkeypatch)
 
     async def work() -> None:
@@ -414,7 +401,7 @@
 def test_the_last_byte_of_an_overtaken_attempt_is_written_within_the_window(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    _narrow(monkeypatch)
+    narrow_connections(monkeypatch)
     # The time that its head told is another bound, and a closer one (`test_told_deadline.py`).
     monkeypatch.setattr(upstream, "_TOLD_LATE_US", 10 * WINDOW_US)
     clock = ManualClock(monkeypatch)
--- a/tests/test_start_faults.py
+++ b/tests/test_start_faults.py
@@ -42,16 +42,7 @@
     [("__init__", "ENFILE"), ("__init__", "ENOBUFS"), ("bind", "EADDRINUSE"), ("bind", "EADDRNOTAVAIL")],
 )
 def test_a_start_outlives_calls_that_fail_for_a_moment(call: str, error: str, tmp_path: Path) -> None:
-    async def work() -> None:
-        environ = _preamble(tmp_path, _FAILING.format(call=call, error=error))
-        async with world(OK, tmp_path) as (config, _):
-            process = await started(config, **environ)
-            try:
-                assert await _serves(process)
-            finally:
-                await _ended(process)
-
-    play(work)
+    play(lambda: _start_with(_FAILING.format(call=call, error=error), tmp_path))
 
 
 _SIGNALLED = """
@@ -66,16 +57,7 @@
 
 @pytest.mark.parametrize("module", ["config", "sidecar"])
 def test_a_reload_that_is_asked_for_while_the_program_loads_ends_nothing(module: str, tmp_path: Path) -> None:
-    async def work() -> None:
-        environ = _preamble(tmp_path, _SIGNALLED.format(module=module))
-        async with world(OK, tmp_path) as (config, _):
-            process = await started(config, **environ)
-            try:
-                assert await _serves(process)
-            finally:
-                await _ended(process)
-
-    play(work)
+    play(lambda: _start_with(_SIGNALLED.format(module=module), tmp_path))
 
 
 def test_a_new_version_starts_while_the_one_before_holds_the_address_for_messages(tmp_path: Path) -> None:
@@ -98,6 +80,17 @@
     play(work)
 
 
+async def _start_with(source: str, folder: Path) -> None:
+    """Start a process that runs this source first, and see that it serves."""
+    environ = _preamble(folder, source)
+    async with world(OK, folder) as (config, _):
+        process = await started(config, **environ)
+        try:
+            assert await _serves(process)
+        finally:
+            await _ended(process)
+
+
 async def _serves(process: asyncio.subprocess.Process) -> bool:
     """Whether the log says that it serves, before it ends."""
     assert process.stderr is not None
--- a/tests/test_told_deadline.py
+++ b/tests/test_told_deadline.py
@@ -2,36 +2,21 @@
 
 from __future__ import annotations
 
-import socket
-
 import pytest
-from barriers import ManualClock, NarrowServer, server_line, tell
+from barriers import ManualClock, NarrowServer, narrow_connections, server_line, tell
 from loopback import OK, play, request, stage, until
 
-from tulipnotch.sidecar.client import ClientConnection
-
 _BODY = b"x" * 60_000 + b"the end"
 _TIMEOUT_S = 3.0
 _SLACK_S = 0.15  # the users' term
 
 
-def _narrow(patch: pytest.MonkeyPatch) -> None:
-    """Connections to servers hold little: the rest of a request waits in this process."""
-    made = ClientConnection.connection_made
-
-    def connection_made(self: ClientConnection, transport: object) -> None:
-        transport.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4_096)  # type: ignore[attr-defined]
-        made(self, transport)  # type: ignore[arg-type]
-
-    patch.setattr(ClientConnection, "connection_made", connection_made)
-
-
 @pytest.mark.parametrize("late_s", [0.05, 0.5])
 def test_a_server_that_takes_a_request_late_is_not_told_more_than_is_left(
     late_s: float, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     # The head has gone with the time that was left then; what the kernel holds back goes when there is room.
-    _narrow(monkeypatch)
+    narrow_connections(monkeypatch)
 
     async def work() -> None:
         clock = ManualClock(monkeypatch)
