--- a/tests/test_invariants.py
+++ b/tests/test_invariants.py
@@ -14,13 +14,17 @@
 from tulipnotch.decisions.balancer import Balancer
 from tulipnotch.decisions.interface import Group, Repeat, ServiceClass
 from tulipnotch.decisions.retry_policy import RetryPolicy
+from tulipnotch.sidecar import upstream as upstream_module
 from tulipnotch.sidecar.frontend import ClientSide
+from tulipnotch.sidecar.http1 import Request
 from tulipnotch.sidecar.invariants import CloseReason, Guard, Invariant, WrittenAttempt
+from tulipnotch.sidecar.sidecar import Sidecar
 from tulipnotch.sidecar.upstream import Upstream
 
 _KEYED = ServiceClass("amend", 2_000_000, 500_000, repeat=Repeat.KEYED, group=Group.CELL, memory_us=1_000_000)
 _ZONED = ServiceClass("amend", 2_000_000, 500_000, repeat=Repeat.KEYED, group=Group.ZONE, memory_us=1_000_000)
 _UNSAFE = ServiceClass("lodge", 2_000_000, 500_000, repeat=Repeat.UNSAFE)
+_PING = Request(b"GET", b"/ping", [(b"host", b"s-0")])
 _SAFE = ServiceClass("check", 2_000_000, 500_000, repeat=Repeat.SAFE)
 
 
@@ -217,3 +221,52 @@
             assert second is not first
 
     play(work)
+
+
+def test_a_write_whose_time_is_up_shows() -> None:
+    guard = Guard()
+    guard.sending(b"r-1", is_waited_for=True, now=5, until=5)
+    assert [each for each, count in guard.broken.items() if count] == [Invariant.SENT_IN_TIME]
+
+
+def test_a_write_to_a_server_that_drains_shows() -> None:
+    async def work() -> None:
+        async with stage(OK) as scene:
+            assert (await scene.ask("check")).status == 200
+            upstream = scene.sidecar._upstream
+            (server,) = upstream._servers.values()
+            connection = server.idle.pop().connection
+            server.is_leaving = True
+            call = upstream_module.Call("s-0", 2**61, lambda left_us: _PING, lambda *given: None)
+            upstream._write(call, connection)
+            assert scene.sidecar._guard.broken[Invariant.SENT_TO_READY] == 1
+
+    play(work)
+
+
+def test_a_start_that_has_not_looked_for_a_list_shows(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def goes_on(*given: object) -> None:
+        return None
+
+    monkeypatch.setattr(Sidecar, "_until", goes_on)
+
+    async def work() -> None:
+        for discovery, broken in (("pushed", 1), ("on_request", 0)):
+            async with stage(OK, discovery=discovery, silent_discovery=True) as scene:
+                assert scene.sidecar._guard.broken[Invariant.SERVED_LISTED] == broken
+
+    play(work)
+
+
+def test_an_end_with_answers_owed_shows(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def work() -> None:
+        _, hold = holding()
+        async with stage(hold) as scene:
+            client = await scene.client()
+            client.send(request("check", timeout="0.2"))
+            await until(lambda: len(scene.heard) == 1)
+            monkeypatch.setattr(scene.sidecar, "_answer", lambda *given: None)
+            await scene.sidecar.drain()
+            assert scene.sidecar._guard.broken[Invariant.STOPPED_UNOWED] == 1
+
+    play(work)
