--- a/tests/soak/clients.py
+++ b/tests/soak/clients.py
@@ -10,7 +10,6 @@
 from itertools import count
 
 from soak.records import Effect, Records, RequestClass, Try, now
-from soak.servers import HOST
 
 _RESET = struct.pack("ii", 1, 0)
 _LARGE = 150_000  # bytes of a body that passes through
@@ -192,9 +191,3 @@
         await asyncio.sleep(for_s)
         for _, writer in opened:
             writer.close()
-
-
-def fault_address(address: str) -> tuple[str, int]:
-    """Split `host:port`."""
-    host, _, port = address.rpartition(":")
-    return host or HOST, int(port)
--- a/tests/soak/records.py
+++ b/tests/soak/records.py
@@ -110,7 +110,6 @@
     arrivals: list[Arrival] = field(default_factory=list)
     lives: list[Life] = field(default_factory=list)
     withdrawn: list[Announced] = field(default_factory=list)  # drains and ends
-    troubles: list[str] = field(default_factory=list)  # what was done, and when
     held_up: list[tuple[int, float, float]] = field(default_factory=list)  # sidecar, from, to: it stood still
     reloads: list[tuple[int, float]] = field(default_factory=list)  # sidecar, when: discovery may have moved
     lost_news: list[tuple[int, float]] = field(
--- a/tests/soak/servers.py
+++ b/tests/soak/servers.py
@@ -276,7 +276,6 @@
     def __init__(self, passage: _Passage) -> None:
         self._passage = passage
         self.transport: asyncio.Transport | None = None
-        self._is_current = True
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
