Log and count malformed responses by fault, and the memory of the process

Cause: the evidence of the incident can't show why attempts failed or what the process held: a malformed response had no line, and memory had none. Change: events response_malformed and memory_high, metrics malformed_responses.FAULT, resident_bytes, peak_resident_bytes, request_buffer_bytes and response_buffer_bytes. Nothing is decided by them.

--- a/tests/external_names/test_control_names.py
+++ b/tests/external_names/test_control_names.py
@@ -29,7 +29,11 @@
 app.refusals.deadline app.refusals.at_fault
 app.failures.admission app.failures.no_server app.failures.no_retry app.failures.deadline
 app.failures.at_fault
+app.malformed_responses.invalid_http app.malformed_responses.body_too_large
+app.malformed_responses.too_many_interim app.malformed_responses.before_request
+app.malformed_responses.stalled app.malformed_responses.not_awaited
 app.pending app.members app.members_unavailable app.invariant_violations
+app.resident_bytes app.peak_resident_bytes app.request_buffer_bytes app.response_buffer_bytes
 """.split()
 LEVELS_TABLE = """
 [[overload.levels]]
@@ -51,7 +55,11 @@
             assert await running.send_command("readyz") == ["+OK ready"]
             telemetry = await read_telemetry(running)
             assert list(telemetry) == TELEMETRY_NAMES
-            assert {name for name, value in telemetry.items() if value != "0"} == {"app.members"}
+            assert {name for name, value in telemetry.items() if value != "0"} == {
+                "app.members",
+                "app.resident_bytes",
+                "app.peak_resident_bytes",
+            }
             client = await running.connect()
             assert (await client.send_request("lodge")).status == 200
             client.send(http_request("lodge", Connection="close", Request_Class="nobody"))
--- a/tests/sidecar/control/test_telemetry.py
+++ b/tests/sidecar/control/test_telemetry.py
@@ -14,6 +14,7 @@
     RequestResult,
     Telemetry,
 )
+from tulipnotch.sidecar.http1.response_fault import ResponseFault
 from tulipnotch.sidecar.requests.invariants import CloseReason
 
 # The names under which dashboards read the metrics.
@@ -42,6 +43,14 @@
     ],
     "refusals": ["max_open", "admission", "no_server", "no_retry", "deadline", "at_fault"],
     "failures": ["admission", "no_server", "no_retry", "deadline", "at_fault"],
+    "malformed_responses": [
+        "invalid_http",
+        "body_too_large",
+        "too_many_interim",
+        "before_request",
+        "stalled",
+        "not_awaited",
+    ],
 }
 
 
@@ -62,7 +71,7 @@
     assert "app.downstream_requests.new.completed=0" in lines
     assert "app.pending=3" in lines
     assert "app.upstream_requests_withheld=0" in lines
-    assert len(lines) == 3 * 3 + 5 + 29
+    assert len(lines) == 3 * 3 + 5 + 35
 
 
 def test_telemetry_has_a_metric_name_for_every_member_of_the_counted_enums() -> None:
@@ -92,6 +101,7 @@
     telemetry.request_rejected(TerminationReason.NO_ENDPOINT)
     telemetry.request_failed(TerminationReason.CLIENT_ERROR)
     telemetry.connection_closed(CloseReason.NO_REQUEST)
+    telemetry.response_malformed(ResponseFault.STALLED)
     telemetry.attempt_written()
     telemetry.attempt_withheld()
     telemetry.configuration_reloaded()
@@ -104,6 +114,7 @@
         "app.refusals.no_server",
         "app.failures.at_fault",
         "app.client_closes.silent",
+        "app.malformed_responses.stalled",
         "app.upstream_requests",
         "app.upstream_requests_withheld",
         "app.config_reloads",
--- a/tulipnotch/sidecar/action_executor.py
+++ b/tulipnotch/sidecar/action_executor.py
@@ -34,6 +34,7 @@
 from tulipnotch.sidecar.upstream.request import BackgroundRequestObserver, UpstreamRequest
 
 _HEALTH_CHECK_TIMEOUT_US = 1_000_000
+_HEALTH_CHECK_NAME = "health check"  # in the log, in place of a request's id
 
 
 class ActionTargets:
@@ -109,12 +110,15 @@
         def post_result(outcome: Outcome, response: Response | None) -> None:
             report = parse_load_report(response, context.settings.report_columns, in_body=is_report_in_body)
             elapsed_us = context.clock.now() - started_at
+            if request.response_fault is not None:
+                context.report_malformed_response(action.endpoint, request.response_fault, _HEALTH_CHECK_NAME)
             self._events.post(HealthCheckEnded(action.endpoint, outcome, elapsed_us, report))
 
         deadline = started_at + _HEALTH_CHECK_TIMEOUT_US
-        context.upstream.start_request(
-            UpstreamRequest(action.endpoint, deadline, lambda _: message, _HealthCheckObserver(post_result))
+        request = UpstreamRequest(
+            action.endpoint, deadline, lambda _: message, _HealthCheckObserver(post_result)
         )
+        context.upstream.start_request(request)
 
     def _subscribe(self, action: Subscribe) -> None:
         if action.is_subscribed:
--- a/tulipnotch/sidecar/control/telemetry.py
+++ b/tulipnotch/sidecar/control/telemetry.py
@@ -10,6 +10,7 @@
 from enum import StrEnum, unique
 
 from tulipnotch.load_balancing.outcomes import Outcome, TerminationReason
+from tulipnotch.sidecar.http1.response_fault import ResponseFault
 from tulipnotch.sidecar.requests.invariants import CloseReason
 
 OUTCOME_NAMES: Mapping[Outcome, str] = {
@@ -77,6 +78,7 @@
         }
         self._failures = dict.fromkeys(TERMINATION_REASON_NAMES, 0)
         self._closes = dict.fromkeys(CLOSE_REASON_NAMES, 0)
+        self._malformed_responses = dict.fromkeys(ResponseFault, 0)
         self._reloads = 0
         self._reload_errors = 0
         self.add_classes(classes)
@@ -117,6 +119,10 @@
         """Counts a client connection that has ended, by its reason."""
         self._closes[reason] += 1
 
+    def response_malformed(self, fault: ResponseFault) -> None:
+        """Counts a response of a server that was malformed, by its fault."""
+        self._malformed_responses[fault] += 1
+
     def configuration_reloaded(self) -> None:
         """Counts a configuration that was applied at a reload."""
         self._reloads += 1
@@ -147,6 +153,8 @@
             metrics[f"refusals.{name}"] = count
         for cause, count in self._failures.items():
             metrics[f"failures.{TERMINATION_REASON_NAMES[cause]}"] = count
+        for fault, count in self._malformed_responses.items():
+            metrics[f"malformed_responses.{fault.value}"] = count
         return [f"app.{name}={value}" for name, value in (metrics | dict(gauges)).items()]
 
 
--- a/tulipnotch/sidecar/control_commands.py
+++ b/tulipnotch/sidecar/control_commands.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping, Sequence
+from collections.abc import Callable, Mapping, Sequence
 
 from tulipnotch.load_balancing import Balancer
 from tulipnotch.sidecar.control.endpoint import CommandHandler, CommandRejectedError
 from tulipnotch.sidecar.control.lifecycle import Lifecycle
+from tulipnotch.sidecar.process_memory import BufferUsage, peak_resident_bytes, resident_bytes
 from tulipnotch.sidecar.requests.context import SidecarContext
 from tulipnotch.sidecar.requests.request_registry import RequestRegistry
 from tulipnotch.sidecar.service_level_monitor import ServiceLevelMonitor
@@ -26,13 +27,24 @@
         balancer: Balancer,
         registry: RequestRegistry,
         level_monitor: ServiceLevelMonitor | None,
+        buffer_usage: Callable[[], BufferUsage],
     ) -> None:
-        """Creates the handlers; `level_monitor` is None if the operator file sets no service levels."""
+        """Creates the handlers.
+
+        Args:
+            context: The shared components.
+            lifecycle: The lifecycle phase, which two of the commands change.
+            balancer: Counts the endpoints.
+            registry: Counts the open requests.
+            level_monitor: None if the operator file sets no service levels.
+            buffer_usage: Returns what the connections hold now.
+        """
         self._context = context
         self._lifecycle = lifecycle
         self._balancer = balancer
         self._registry = registry
         self._level_monitor = level_monitor
+        self._buffer_usage = buffer_usage
 
     def handlers(self) -> Mapping[str, CommandHandler]:
         """Returns the handlers, keyed by command name."""
@@ -67,11 +79,16 @@
     def telemetry(self) -> Sequence[str]:
         """Returns all counters and gauges, one on each line, and a last line that holds a full stop."""
         counts = self._balancer.endpoint_counts()
+        usage = self._buffer_usage()
         gauges = {
             "pending": self._registry.pending_complete_request_count,
             "members": counts.listed,
             "members_unavailable": counts.unavailable,
             "invariant_violations": self._context.invariants.violation_count,
+            "resident_bytes": resident_bytes(),
+            "peak_resident_bytes": peak_resident_bytes(),
+            "request_buffer_bytes": usage.request_bytes,
+            "response_buffer_bytes": usage.response_bytes,
         }
         if self._level_monitor is not None:
             gauges |= {"level": self._level_monitor.index, "level_changes": self._level_monitor.change_count}
--- a/tulipnotch/sidecar/downstream/connection.py
+++ b/tulipnotch/sidecar/downstream/connection.py
@@ -189,7 +189,12 @@
     @property
     def has_unsent_output(self) -> bool:
         """Whether some of the data written to the connection was not sent yet."""
-        return self._transport is not None and self._transport.get_write_buffer_size() > 0
+        return self.unsent_bytes > 0
+
+    @property
+    def unsent_bytes(self) -> int:
+        """Number of bytes written to the connection that the kernel has not accepted yet."""
+        return 0 if self._transport is None else self._transport.get_write_buffer_size()
 
     @property
     def has_request_head(self) -> bool:
--- a/tulipnotch/sidecar/downstream/server.py
+++ b/tulipnotch/sidecar/downstream/server.py
@@ -84,6 +84,16 @@
         """Number of open connections."""
         return len(self.connection_table)
 
+    @property
+    def buffered_request_bytes(self) -> int:
+        """Number of bytes that are buffered for requests, over all connections."""
+        return self.connection_table.buffered_bytes
+
+    @property
+    def unsent_response_bytes(self) -> int:
+        """Number of bytes of responses that the kernel has not accepted yet, over all connections."""
+        return sum(connection.unsent_bytes for connection in self.connections())
+
     @property
     def last_opened_at(self) -> float:
         """When the last connection was opened, in the event loop's time (s)."""
--- a/tulipnotch/sidecar/http1/response_reader.py
+++ b/tulipnotch/sidecar/http1/response_reader.py
@@ -8,6 +8,7 @@
 
 from tulipnotch.sidecar.http1.message_reader import MessageReader, PartialMessage
 from tulipnotch.sidecar.http1.messages import Response
+from tulipnotch.sidecar.http1.response_fault import ResponseFault
 
 # A body without an announced length is streamed once more than this was received.  The limit is lower than
 # that on buffered bytes, so that the first bytes reach the client early.
@@ -21,7 +22,7 @@
 
     INCOMPLETE = auto()
     COMPLETE = auto()
-    MALFORMED = auto()
+    MALFORMED = auto()  # `ResponseReader.fault` says why
 
 
 class ResponseReader(MessageReader):
@@ -31,6 +32,7 @@
         head: The head of the response, without a body; None until the head is complete.
         keep_alive: Whether the connection can carry another exchange; valid once the response is complete.
         has_excess_data: Whether data was received after the response.
+        fault: Why the response is malformed; None unless `is_malformed`.
     """
 
     def __init__(self, max_buffered_bytes: int, max_body_bytes: int | None = None) -> None:
@@ -50,6 +52,7 @@
     def expect_response(self, *, to_head_request: bool = False) -> None:
         """Prepares for the response to the next request."""
         self.head: Response | None = None
+        self.fault: ResponseFault | None = None
         self._state = _ResponseState.INCOMPLETE
         self._is_response_to_head = to_head_request
         self._is_delimited_by_close = False  # whether only the end of the connection delimits the body
@@ -89,6 +92,11 @@
             return head if head.length > self._max_buffered_bytes else None
         return head if len(self._buffered_body) > _STREAM_START_BYTES else None
 
+    @property
+    def buffered_bytes(self) -> int:
+        """Number of bytes of the body that are buffered."""
+        return len(self._buffered_body)
+
     def pop_buffered_body(self) -> bytes:
         """Removes and returns the buffered part of the body."""
         removed = bytes(self._buffered_body)
@@ -103,7 +111,11 @@
             if self._state is _ResponseState.COMPLETE:
                 self.has_excess_data = True  # the response before the malformed data was valid
             else:
-                self._state = _ResponseState.MALFORMED
+                self._reject(ResponseFault.INVALID_HTTP)
+
+    def _reject(self, fault: ResponseFault) -> None:
+        self._state = _ResponseState.MALFORMED
+        self.fault = self.fault or fault
 
     def feed_eof(self) -> None:
         """Handles an orderly end of the connection, which completes a response that nothing else delimits."""
@@ -127,13 +139,16 @@
         if status < 200:
             self._interim_responses += 1
             if self._interim_responses > _MAX_INTERIM_RESPONSES:
-                self._state = _ResponseState.MALFORMED
+                self._reject(ResponseFault.TOO_MANY_INTERIM)
             return
         lengths = message.header_values(b"content-length")
         codings = [coding.lower() for coding in message.header_values(b"transfer-encoding")]
         length = int(lengths[0]) if lengths else None
-        if (codings and codings != [b"chunked"]) or (length is not None and length > self._max_body_bytes):
-            self._state = _ResponseState.MALFORMED  # now, instead of after a body that would be discarded
+        if codings and codings != [b"chunked"]:
+            self._reject(ResponseFault.INVALID_HTTP)
+            return
+        if length is not None and length > self._max_body_bytes:
+            self._reject(ResponseFault.BODY_TOO_LARGE)  # now, instead of after a body that would be discarded
             return
         self.head = Response(status, message.headers, length=length)
         if self._is_response_to_head:
@@ -149,7 +164,7 @@
             return
         self._received_body_bytes += len(data)
         if self._received_body_bytes > self._max_body_bytes:
-            self._state = _ResponseState.MALFORMED
+            self._reject(ResponseFault.BODY_TOO_LARGE)
         elif self.head.status == 200:
             self._buffered_body += data
         elif self._received_body_bytes > self._max_buffered_bytes:
--- a/tulipnotch/sidecar/logs.py
+++ b/tulipnotch/sidecar/logs.py
@@ -69,6 +69,11 @@
     "reload_rejected": _error("reload rejected, the previous configuration stays in force: {fault}"),
     "ejected": _warning("ejected {server}: {reason}"),
     "readmitted": _info("readmitted {server}"),
+    "response_malformed": _warning("malformed response of {server}: {fault}; request {request}"),
+    "memory_high": _warning(
+        "resident memory {resident_mb} MB of {limit_mb} MB: {request_kb} KB of requests, "
+        "{response_kb} KB of responses, {clients} client connections, {servers} server connections"
+    ),
     "service_level_changed": _warning(
         "service level {now}, was {before} for {previous_duration_s:g} s: {reason}"
     ),
--- a/tulipnotch/sidecar/requests/attempts.py
+++ b/tulipnotch/sidecar/requests/attempts.py
@@ -157,6 +157,9 @@
         request.open_attempt_count -= 1
         if context.trace is not None:
             context.trace.attempt_ended(request.id_for_logs, self._number, outcome)
+        fault = request.upstream_requests[self._number].response_fault
+        if fault is not None:
+            context.report_malformed_response(self._endpoint, fault, request.id_for_logs)
         if self._is_outcome_reported:
             starter.responses.end_stream(request, outcome)
             starter.registry.remove_if_ended(request)
--- a/tulipnotch/sidecar/requests/context.py
+++ b/tulipnotch/sidecar/requests/context.py
@@ -5,6 +5,7 @@
 from tulipnotch.load_balancing import Settings
 from tulipnotch.sidecar.clock import Clock
 from tulipnotch.sidecar.control.telemetry import Telemetry
+from tulipnotch.sidecar.http1.response_fault import ResponseFault
 from tulipnotch.sidecar.logs import Log
 from tulipnotch.sidecar.requests.invariants import InvariantChecker
 from tulipnotch.sidecar.requests.trace import Trace
@@ -35,3 +36,9 @@
         self.telemetry = telemetry
         self.invariants = invariants
         self.trace = trace
+
+    def report_malformed_response(self, endpoint: str, fault: ResponseFault, request: str) -> None:
+        """Counts a malformed response, and logs it with the request's id or what it was requested for."""
+        self.telemetry.response_malformed(fault)
+        if fault is not ResponseFault.NOT_AWAITED:  # no fault of the server
+            self.log("response_malformed", server=endpoint, fault=fault.value, request=request)
--- a/tulipnotch/sidecar/sidecar.py
+++ b/tulipnotch/sidecar/sidecar.py
@@ -34,6 +34,7 @@
 from tulipnotch.sidecar.downstream.server import DownstreamServer
 from tulipnotch.sidecar.event_queue import EventQueue
 from tulipnotch.sidecar.operator_file import OperatorOptions
+from tulipnotch.sidecar.process_memory import BufferUsage, MemoryMonitor
 from tulipnotch.sidecar.requests.attempts import AttemptStarter
 from tulipnotch.sidecar.requests.context import SidecarContext
 from tulipnotch.sidecar.requests.invariants import Invariant, InvariantChecker
@@ -120,8 +121,9 @@
             else None
         )
         self._commands = ControlCommands(
-            context, self.lifecycle, self._balancer, self._registry, self._level_monitor
+            context, self.lifecycle, self._balancer, self._registry, self._level_monitor, self.buffer_usage
         )
+        self._memory_monitor = MemoryMonitor(self.config.memory_mb, self.buffer_usage, context.log)
 
     def _create_startup_and_shutdown(self) -> None:
         self._startup = Startup(
@@ -161,6 +163,7 @@
                 await self._startup.wait_for_endpoints()
         self._check_readiness_invariant()
         self.lifecycle.mark_started()
+        self._memory_monitor.start()
         if self._level_monitor is not None:
             self._level_monitor.start(self.lifecycle)
 
@@ -181,6 +184,16 @@
         """Number of requests that have a pending response or an attempt in flight."""
         return len(self._registry)
 
+    def buffer_usage(self) -> BufferUsage:
+        """Returns what the connections of clients and servers hold now."""
+        downstream, upstream = self.downstream, self._upstream
+        return BufferUsage(
+            request_bytes=downstream.buffered_request_bytes,
+            response_bytes=upstream.buffered_bytes + downstream.unsent_response_bytes,
+            clients=downstream.open_connections,
+            servers=upstream.open_connections,
+        )
+
     def command_handlers(self) -> Mapping[str, CommandHandler]:
         """Returns the handlers of the control endpoint's commands, keyed by command name."""
         return self._commands.handlers()
@@ -230,6 +243,7 @@
         self._peers.close()
         self._upstream.close()
         self.downstream.close()
+        self._memory_monitor.stop()
 
 
 def _create_context(config: Config, options: OperatorOptions, lifecycle: Lifecycle) -> SidecarContext:
--- a/tulipnotch/sidecar/upstream/connection.py
+++ b/tulipnotch/sidecar/upstream/connection.py
@@ -18,6 +18,7 @@
 from typing import Protocol, cast
 
 from tulipnotch.sidecar.http1.messages import Request, Response
+from tulipnotch.sidecar.http1.response_fault import ResponseFault
 from tulipnotch.sidecar.http1.response_reader import ResponseReader
 from tulipnotch.sidecar.sockets import borrow_socket
 from tulipnotch.sidecar.upstream.errors import ConnectionNotIdleError
@@ -89,6 +90,8 @@
         self._exchange_count = 0  # includes the exchange in flight
         self._has_backlog = False  # whether the transport has data that the kernel has not accepted yet
         self._is_reading_paused = False
+        # Why the last exchange failed, if its response was malformed.
+        self.response_fault: ResponseFault | None = None
 
     @property
     def is_closed(self) -> bool:
@@ -107,6 +110,11 @@
         """Whether a response can only belong to the last request, since no other was sent before it."""
         return self._exchange_count <= 1
 
+    @property
+    def buffered_bytes(self) -> int:
+        """Number of bytes of a response that are buffered."""
+        return self._reader.buffered_bytes
+
     def is_usable(self) -> bool:
         """Returns whether a request may be written now: the connection is idle and has no unread input.
 
@@ -284,8 +292,8 @@
     def _process_response(self) -> None:
         """Passes on streamed data, and ends the exchange if the response is complete or malformed."""
         reader = self._reader
-        if reader.is_malformed:
-            self._fail_exchange(ExchangeFailure.MALFORMED_RESPONSE)
+        if reader.fault is not None:
+            self._fail_malformed(reader.fault)
             return
         if isinstance(self._state, AwaitingResponse):
             head = reader.head_to_stream
@@ -310,7 +318,7 @@
         """Asks the observer for a consumer of the response; the exchange fails without one."""
         consumer = awaiting.observer.response_started(head)
         if consumer is None:
-            self._fail_exchange(ExchangeFailure.MALFORMED_RESPONSE)  # no client waits for it any more
+            self._fail_malformed(ResponseFault.NOT_AWAITED)
         elif self._state is awaiting:
             self._state = Streaming(awaiting.observer, consumer)
 
@@ -323,7 +331,7 @@
         timeout_s = _STREAM_STALL_TIMEOUT_S if is_streaming else self._response_stall_timeout_s
         remaining_s = self._progress_at + timeout_s - loop.time()
         if remaining_s <= 0.0:
-            self._fail_exchange(ExchangeFailure.MALFORMED_RESPONSE)
+            self._fail_malformed(ResponseFault.STALLED)
         else:
             self._stall_timer = loop.call_later(remaining_s, self._check_stall)
 
@@ -338,7 +346,7 @@
         is_written = not isinstance(exchange, Writing)
         if response.status == 200 and not is_written:
             # A server can't have executed an incomplete request, so this response belongs to another one.
-            self._fail_exchange(ExchangeFailure.MALFORMED_RESPONSE)
+            self._fail_malformed(ResponseFault.BEFORE_REQUEST)
             return
         # Nothing in an HTTP/1.1 response identifies its request.  A connection that received excess data, or
         # a response before its request was written, is not reused: its next response could belong to another
@@ -363,6 +371,10 @@
             ExchangeFailure.UNWRITTEN if self.is_unwritten else ExchangeFailure.CONNECTION_LOST
         )
 
+    def _fail_malformed(self, fault: ResponseFault) -> None:
+        self.response_fault = fault
+        self._fail_exchange(ExchangeFailure.MALFORMED_RESPONSE)
+
     def _fail_exchange(self, failure: ExchangeFailure) -> None:
         exchange = self._current_exchange()
         self.close()
--- a/tulipnotch/sidecar/upstream/pool.py
+++ b/tulipnotch/sidecar/upstream/pool.py
@@ -210,6 +210,16 @@
 
     # Connections
 
+    @property
+    def open_connections(self) -> int:
+        """Number of open connections."""
+        return len(self._endpoint_of)
+
+    @property
+    def buffered_bytes(self) -> int:
+        """Number of bytes of responses that are buffered, over all connections."""
+        return sum(connection.buffered_bytes for connection in self._endpoint_of)
+
     def connection_idle(self, connection: UpstreamConnection) -> None:
         """Keeps an open connection for a later request, unless its endpoint is draining."""
         endpoint = self._endpoint_of.get(connection)
--- a/tulipnotch/sidecar/upstream/request.py
+++ b/tulipnotch/sidecar/upstream/request.py
@@ -9,6 +9,7 @@
 from tulipnotch.load_balancing.clock_time import NEVER
 from tulipnotch.load_balancing.outcomes import Outcome
 from tulipnotch.sidecar.http1.messages import Request, Response
+from tulipnotch.sidecar.http1.response_fault import ResponseFault
 from tulipnotch.sidecar.upstream.connection import UpstreamConnection
 from tulipnotch.sidecar.upstream.exchange import ResponseConsumer
 
@@ -106,3 +107,8 @@
     def is_unwritten(self) -> bool:
         """Whether the last byte is not written yet, so that no server can have executed the request."""
         return self.connection is None or self.connection.is_unwritten
+
+    @property
+    def response_fault(self) -> ResponseFault | None:
+        """Why its response was malformed; None if it was not, or if there was none."""
+        return None if self.connection is None else self.connection.response_fault
