--- /dev/null
+++ b/tests/sidecar/test_memory_limit.py
@@ -0,0 +1,126 @@
+"""Memory of a real sidecar process whose peers send without end, or keep many connections full."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable, Sequence
+from pathlib import Path
+
+import pytest
+from flooding import Flood, FloodedSidecar, flooded_sidecar
+from loopback import Client, http_request, run_async, wait_until
+
+pytestmark = pytest.mark.xdist_group("memory limit")
+
+_STATUS_LINE = b"HTTP/1.1 200 OK\r\n"
+_CHUNKED = b"Transfer-Encoding: chunked\r\n\r\n"
+_LONG_HEADER = b"X-Filler: " + b"x" * 1_000 + b"\r\n"
+_SHORT_HEADER = b"a:\r\n"
+_SERVERS_HANG = Flood(b"")
+_CONNECTION_COUNT = 450  # of about 490 that the descriptors allow
+_WARM_UP_ROUNDS = 12  # by which the concurrency limit admits a request of each connection
+
+
+@pytest.mark.parametrize(
+    "flood",
+    [
+        pytest.param(Flood(_STATUS_LINE, _LONG_HEADER), id="header lines"),
+        pytest.param(Flood(_STATUS_LINE, _SHORT_HEADER), id="short header lines"),
+        pytest.param(Flood(_STATUS_LINE + b"X-Filler: ", b"x" * 1_024), id="header value"),
+        pytest.param(Flood(b"HTTP/1.1 103 Early Hints\r\n", _LONG_HEADER), id="interim response"),
+        pytest.param(
+            Flood(_STATUS_LINE + _CHUNKED + b"3\r\nabc\r\n0\r\nX-Trailer: ", b"x" * 1_024), id="trailer value"
+        ),
+    ],
+)
+def test_memory_is_limited_when_a_response_has_a_head_or_trailer_without_end(
+    flood: Flood, tmp_path: Path
+) -> None:
+    async def work() -> None:
+        async with flooded_sidecar(tmp_path, flood) as sidecar:
+            clients = await sidecar.send_to_all(100)
+            statuses = await sidecar.wait_for_responses(clients)
+            assert set(statuses) <= {502, 503, 504}
+            await sidecar.wait_until_served()
+            sidecar.assert_within_memory_limit()
+
+    run_async(work)
+
+
+@pytest.mark.parametrize(
+    "flood",
+    [
+        pytest.param(
+            Flood(_STATUS_LINE + b"Content-Length: 30000000\r\n\r\n", b"x" * 4_096, awaits_body=False),
+            id="length",
+        ),
+        pytest.param(
+            Flood(_STATUS_LINE + _CHUNKED, b"1000\r\n" + b"x" * 4_096 + b"\r\n", awaits_body=False),
+            id="chunked",
+        ),
+        pytest.param(Flood(_STATUS_LINE + b"\r\n", b"x" * 4_096, awaits_body=False), id="until close"),
+    ],
+)
+def test_memory_is_limited_when_responses_begin_before_their_requests_are_complete(
+    flood: Flood, tmp_path: Path
+) -> None:
+    async def work() -> None:
+        async with flooded_sidecar(tmp_path, flood) as sidecar:
+            await sidecar.send_to_all(60, "lodge", body=b"y" * 100_000, Content_Length="30000000")
+            await wait_until(lambda: any(server.sent_bytes for server in sidecar.servers))
+            await asyncio.sleep(1.5)  # the clients pause, so that only the flood goes on
+            await sidecar.wait_until_served()
+            sidecar.assert_within_memory_limit()
+
+    run_async(work)
+
+
+async def _fill_with_request_heads(_sidecar: FloodedSidecar, clients: Sequence[Client]) -> None:
+    for client in clients:
+        client.send(b"GET / HTTP/1.1\r\n" + _SHORT_HEADER * 3_900)
+
+
+async def _fill_with_response_heads(sidecar: FloodedSidecar, clients: Sequence[Client]) -> None:
+    sidecar.set_flood(Flood(_STATUS_LINE + _SHORT_HEADER * 3_900))
+    for client in clients:
+        client.send(http_request("check", timeout="3.0"))
+
+
+async def _fill_with_pipelined_requests(sidecar: FloodedSidecar, clients: Sequence[Client]) -> None:
+    sidecar.set_flood(_SERVERS_HANG)
+    for client in clients:
+        client.send(http_request("check", timeout="3.0") + b"GET / HTTP/1.1\r\n\r\n" * 1_700)
+
+
+async def _fill_with_request_trailers(_sidecar: FloodedSidecar, clients: Sequence[Client]) -> None:
+    head = http_request("lodge", Transfer_Encoding="chunked", Content_Length="")
+    for client in clients[:50]:
+        client.send(head + b"3\r\nabc\r\n0\r\nX-Trailer: " + b"x" * (1 << 20))
+
+
+@pytest.mark.parametrize(
+    "fill",
+    [
+        pytest.param(_fill_with_request_heads, id="request heads"),
+        pytest.param(_fill_with_request_trailers, id="request trailers"),
+        pytest.param(_fill_with_response_heads, id="response heads"),
+        pytest.param(_fill_with_pipelined_requests, id="pipelined requests"),
+    ],
+)
+def test_memory_is_limited_when_many_connections_are_filled(
+    fill: Callable[[FloodedSidecar, Sequence[Client]], Awaitable[None]], tmp_path: Path
+) -> None:
+    async def work() -> None:
+        async with flooded_sidecar(tmp_path, None) as sidecar:
+            clients = await sidecar.connect(_CONNECTION_COUNT)
+            for _ in range(_WARM_UP_ROUNDS):
+                for client in clients:
+                    client.send(http_request("check", timeout="3.0"))
+                statuses = await sidecar.wait_for_responses(clients)
+            assert statuses.count(200) > _CONNECTION_COUNT // 2
+            await fill(sidecar, clients)
+            await asyncio.sleep(1.5)  # shorter than the timeouts of what was sent
+            await sidecar.wait_until_served()
+            sidecar.assert_within_memory_limit()
+
+    run_async(work)
