Fail an exchange at the head of a 200 that precedes its request's end

Callers saw: the process went over its memory limit and was ended while large requests were arriving. Cause: a 200 before its request is complete can't belong to it, but that was decided at its end: until then its body was buffered, up to 32 MB on each connection, for as long as the client took to send its request. Change: the exchange fails as malformed (before_request) once the head is there; nothing of the body is kept.

--- a/tulipnotch/sidecar/upstream/connection.py
+++ b/tulipnotch/sidecar/upstream/connection.py
@@ -295,6 +295,11 @@
         if reader.fault is not None:
             self._fail_malformed(reader.fault)
             return
+        if isinstance(self._state, Writing) and reader.head is not None and reader.head.status == 200:
+            # A server can't have executed an incomplete request, so this response belongs to another one.
+            # Its body must not be buffered until the request is written, which its client may delay.
+            self._fail_malformed(ResponseFault.BEFORE_REQUEST)
+            return
         if isinstance(self._state, AwaitingResponse):
             head = reader.head_to_stream
             if head is not None and self._state.observer.streams_responses:
@@ -344,10 +349,6 @@
         """Ends the exchange with a response, and decides whether the connection can be reused."""
         self._stop_stall_timer()
         is_written = not isinstance(exchange, Writing)
-        if response.status == 200 and not is_written:
-            # A server can't have executed an incomplete request, so this response belongs to another one.
-            self._fail_malformed(ResponseFault.BEFORE_REQUEST)
-            return
         # Nothing in an HTTP/1.1 response identifies its request.  A connection that received excess data, or
         # a response before its request was written, is not reused: its next response could belong to another
         # request.
