Limit the head and trailers of a response, and drop headers that nobody interprets

Callers saw: the process went over its memory limit and was ended. Cause: the parser buffers a header's name and value of any length, and the reader kept every header of a head that never ended; only an exchange's deadline ended it. A trailer's value grew in the same way. Change: more than 16 KiB without progress (the end of a head, a part of a body) make a response malformed, as for requests; headers that are neither interpreted nor forwarded take no memory, so many heads below the limit don't either.

--- a/tests/external_names/test_control_names.py
+++ b/tests/external_names/test_control_names.py
@@ -29,7 +29,8 @@
 app.refusals.deadline app.refusals.at_fault
 app.failures.admission app.failures.no_server app.failures.no_retry app.failures.deadline
 app.failures.at_fault
-app.malformed_responses.invalid_http app.malformed_responses.body_too_large
+app.malformed_responses.invalid_http app.malformed_responses.head_too_large
+app.malformed_responses.body_too_large
 app.malformed_responses.too_many_interim app.malformed_responses.before_request
 app.malformed_responses.stalled app.malformed_responses.not_awaited
 app.pending app.members app.members_unavailable app.invariant_violations
--- a/tests/sidecar/control/test_telemetry.py
+++ b/tests/sidecar/control/test_telemetry.py
@@ -45,6 +45,7 @@
     "failures": ["admission", "no_server", "no_retry", "deadline", "at_fault"],
     "malformed_responses": [
         "invalid_http",
+        "head_too_large",
         "body_too_large",
         "too_many_interim",
         "before_request",
@@ -71,7 +72,7 @@
     assert "app.downstream_requests.new.completed=0" in lines
     assert "app.pending=3" in lines
     assert "app.upstream_requests_withheld=0" in lines
-    assert len(lines) == 3 * 3 + 5 + 35
+    assert len(lines) == 3 * 3 + 5 + 36
 
 
 def test_telemetry_has_a_metric_name_for_every_member_of_the_counted_enums() -> None:
--- a/tests/sidecar/http1/test_request_reader.py
+++ b/tests/sidecar/http1/test_request_reader.py
@@ -5,7 +5,8 @@
 import pytest
 
 from tulipnotch.sidecar.http1.body import MAX_BUFFERED_BODY_BYTES
-from tulipnotch.sidecar.http1.request_reader import MAX_HEAD_BYTES, RequestReader
+from tulipnotch.sidecar.http1.message_reader import MAX_HEAD_BYTES
+from tulipnotch.sidecar.http1.request_reader import RequestReader
 
 
 def _encode_request(*headers: bytes, body: bytes = b"", version: bytes = b"1.1") -> bytes:
--- a/tests/sidecar/http1/test_response_reader.py
+++ b/tests/sidecar/http1/test_response_reader.py
@@ -4,6 +4,8 @@
 
 import pytest
 
+from tulipnotch.sidecar.http1.message_reader import MAX_HEAD_BYTES
+from tulipnotch.sidecar.http1.response_fault import ResponseFault
 from tulipnotch.sidecar.http1.response_reader import ResponseReader
 
 _HEAD = b"HTTP/1.1 200 OK\r\n"
@@ -134,3 +136,40 @@
     reader.feed(message + b"served")
     assert reader.response is not None
     assert reader.response.body == b"served"
+
+
+@pytest.mark.parametrize(
+    "prefix",
+    [
+        b"HTTP/1.1 200 ",
+        b"HTTP/1.1 200 OK\r\n",
+        b"HTTP/1.1 200 OK\r\nX-Value: ",
+        b"HTTP/1.1 103 Early Hints\r\nX-Value: ",
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\nX-Trailer: ",
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3;x=",
+    ],
+    ids=["status line", "header name", "header value", "interim response", "trailer", "chunk extension"],
+)
+def test_response_is_malformed_when_its_head_or_framing_exceeds_the_limit(
+    reader: ResponseReader, prefix: bytes
+) -> None:
+    reader.feed(prefix)
+    for _ in range(MAX_HEAD_BYTES // 1_024 - 1):
+        reader.feed(b"x" * 1_024)
+        assert reader.fault is None
+    for _ in range(2):
+        reader.feed(b"x" * 1_024)
+    assert reader.fault is ResponseFault.HEAD_TOO_LARGE
+
+
+def test_response_reader_retains_only_headers_that_are_interpreted(reader: ResponseReader) -> None:
+    reader.feed(b"HTTP/1.1 200 OK\r\n" + b"a:\r\n" * 1_000 + b"Content-Length: 6\r\n\r\nserved")
+    assert reader.response is not None
+    assert reader.response.headers == [(b"content-length", b"6")]
+
+
+def test_response_is_malformed_when_it_repeats_an_interpreted_header_too_often(
+    reader: ResponseReader,
+) -> None:
+    reader.feed(b"HTTP/1.1 200 OK\r\n" + b"Content-Type: x\r\n" * 65 + b"End: ")
+    assert reader.fault is ResponseFault.HEAD_TOO_LARGE
--- a/tests/sidecar/test_process_memory.py
+++ b/tests/sidecar/test_process_memory.py
@@ -44,6 +44,7 @@
 @pytest.mark.parametrize(
     ("response", "fault"),
     [
+        pytest.param(b"HTTP/1.1 200 OK\r\nX: " + b"x" * 32_768, "head_too_large", id="head"),
         pytest.param(b"garbage\r\n\r\n", "invalid_http", id="garbage"),
         pytest.param(
             b"HTTP/1.1 200 OK\r\nContent-Length: 33554433\r\n\r\n", "body_too_large", id="too large"
--- a/tulipnotch/sidecar/http1/message_reader.py
+++ b/tulipnotch/sidecar/http1/message_reader.py
@@ -8,9 +8,13 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
+from typing import Protocol
 
 from tulipnotch.sidecar.http1.messages import Headers
 
+# Longest head or trailers of a message, as received.  The parser buffers a name or a value of any length.
+MAX_HEAD_BYTES = 16 << 10
+
 
 @dataclass(slots=True)
 class PartialMessage:
@@ -30,13 +34,23 @@
         return [value for key, value in self.headers if key == name]
 
 
+class _Parser(Protocol):
+    """What the parsers of requests and of responses have in common."""
+
+    def feed_data(self, data: bytes, /) -> None: ...
+
+
 class MessageReader:
     """Base class of both readers, with the message in progress and the parser's common callbacks.
 
-    A subclass sets `_message` and `_parser` in its constructor.
+    A subclass sets `_message` and `_parser` in its constructor, and `_has_progress` in each callback after
+    which the parser retains nothing that it has received before.
     """
 
     _message: PartialMessage | None
+    _parser: _Parser
+    _has_progress = False
+    _bytes_without_progress = 0
 
     def release(self) -> None:
         """Stops reading and frees everything that was read.
@@ -47,6 +61,22 @@
         self._message = None
         vars(self).pop("_parser", None)
 
+    def _parse(self, data: bytes) -> None:
+        """Parses bytes that were received, and counts those without progress.
+
+        Raises:
+            httptools.HttpParserError: They are not valid HTTP.
+            httptools.HttpParserUpgrade: They ask for another protocol.
+        """
+        self._has_progress = False
+        self._parser.feed_data(data)
+        self._bytes_without_progress = 0 if self._has_progress else self._bytes_without_progress + len(data)
+
+    @property
+    def _is_head_too_large(self) -> bool:
+        """Whether the incomplete head, or what follows a body instead of its end, exceeds the limit."""
+        return self._bytes_without_progress > MAX_HEAD_BYTES
+
     @property
     def is_mid_message(self) -> bool:
         """Whether a message was received in part."""
--- a/tulipnotch/sidecar/http1/request_reader.py
+++ b/tulipnotch/sidecar/http1/request_reader.py
@@ -5,11 +5,9 @@
 import httptools
 
 from tulipnotch.sidecar.http1.body import MAX_BODY_BYTES, Body
-from tulipnotch.sidecar.http1.message_reader import MessageReader, PartialMessage
+from tulipnotch.sidecar.http1.message_reader import MAX_HEAD_BYTES, MessageReader, PartialMessage
 from tulipnotch.sidecar.http1.messages import Request
 
-MAX_HEAD_BYTES = 16 << 10  # longest head of a request that is accepted
-
 
 class RequestReader(MessageReader):
     """Reads the requests of one connection.
@@ -33,7 +31,7 @@
         self._body = Body(is_complete=False)  # body of the request in progress
         self._is_queued = False  # whether the request in progress was added to `requests`
         self._head_bytes = 0  # bytes received of an incomplete head
-        self._parser = httptools.HttpRequestParser(self)
+        self._parser: httptools.HttpRequestParser = httptools.HttpRequestParser(self)
 
     def release(self) -> None:
         """Stops reading and frees everything that was read."""
--- a/tulipnotch/sidecar/http1/response_reader.py
+++ b/tulipnotch/sidecar/http1/response_reader.py
@@ -14,6 +14,11 @@
 # that on buffered bytes, so that the first bytes reach the client early.
 _STREAM_START_BYTES = 16 << 10
 _MAX_INTERIM_RESPONSES = 8  # 1xx responses that are accepted before the final response
+# Headers that the sidecar interprets or forwards; all others are discarded, so that they take no memory.
+_RETAINED_HEADERS = frozenset(
+    b"content-length transfer-encoding content-type content-encoding server-load not-started".split()
+)
+_MAX_RETAINED_LINES = 64  # a server sends each of these headers once
 
 
 @unique
@@ -46,7 +51,7 @@
         self.has_excess_data = False
         self._max_buffered_bytes = max_buffered_bytes
         self._max_body_bytes = max_body_bytes or max_buffered_bytes
-        self._parser = httptools.HttpResponseParser(self)
+        self._parser: httptools.HttpResponseParser = httptools.HttpResponseParser(self)
         self.expect_response()
 
     def expect_response(self, *, to_head_request: bool = False) -> None:
@@ -106,12 +111,14 @@
     def feed(self, data: bytes) -> None:
         """Parses bytes that were received."""
         try:
-            self._parser.feed_data(data)
+            self._parse(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             if self._state is _ResponseState.COMPLETE:
                 self.has_excess_data = True  # the response before the malformed data was valid
             else:
                 self._reject(ResponseFault.INVALID_HTTP)
+        if self._is_head_too_large and self._state is _ResponseState.INCOMPLETE:
+            self._reject(ResponseFault.HEAD_TOO_LARGE)
 
     def _reject(self, fault: ResponseFault) -> None:
         self._state = _ResponseState.MALFORMED
@@ -127,14 +134,23 @@
         self.has_excess_data = self._state is _ResponseState.COMPLETE
         super().on_message_begin()
 
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Called by the parser for each header and each trailer."""
+        if name.lower() not in _RETAINED_HEADERS or self._message is None:
+            return
+        super().on_header(name, value)
+        if len(self._message.headers) > _MAX_RETAINED_LINES and self._state is _ResponseState.INCOMPLETE:
+            self._reject(ResponseFault.HEAD_TOO_LARGE)
+
     def on_headers_complete(self) -> None:
         """Called by the parser at the end of a head; detects a response whose head is not acceptable."""
+        self._has_progress = True
         message = self._message
         if message is None:
             return
         message.has_head = True
         status = self._parser.get_status_code()
-        if self._state is _ResponseState.COMPLETE:
+        if self._state is not _ResponseState.INCOMPLETE:
             return
         if status < 200:
             self._interim_responses += 1
@@ -153,13 +169,13 @@
         self.head = Response(status, message.headers, length=length)
         if self._is_response_to_head:
             # The parser expects a body that is not sent, so the connection cannot be read any further.
-            self.has_excess_data = self.has_excess_data or self.is_malformed
             self._complete_response(keep_alive=False)
         elif length is None and not codings and status not in (204, 304):
             self._is_delimited_by_close = True
 
     def on_body(self, data: bytes) -> None:
         """Called by the parser for each part of a body."""
+        self._has_progress = True
         if self._message is None or self._state is not _ResponseState.INCOMPLETE or self.head is None:
             return
         self._received_body_bytes += len(data)
@@ -172,6 +188,7 @@
 
     def on_message_complete(self) -> None:
         """Called by the parser at the last byte of a response, also of an interim response."""
+        self._has_progress = True
         if self._message is None or self._state is not _ResponseState.INCOMPLETE or self.head is None:
             self._message = None
         else:
