Limit the trailers and chunk framing of a request

Callers saw: the process went over its memory limit; one client was enough. Cause: only the bytes of a head were counted. The value of a trailer, after a chunked body, is buffered by the parser without an end, and the client makes progress all the while, so no timeout ends it.

--- a/tests/sidecar/http1/test_request_reader.py
+++ b/tests/sidecar/http1/test_request_reader.py
@@ -77,3 +77,15 @@
     reader.feed(_encode_request(b"Content-Length: 3", body=b"one"))
     assert reader.requests == []
     assert reader.error_status == 400
+
+
+@pytest.mark.parametrize("received", [b"", b"3\r\nabc\r\n0\r\nX-Trailer: "], ids=["chunk size", "trailer"])
+def test_request_reader_rejects_a_chunked_body_whose_framing_exceeds_the_limit(received: bytes) -> None:
+    # The parser buffers the value of a trailer, which no limit on bodies counts.
+    reader = RequestReader()
+    reader.feed(_encode_request(b"Transfer-Encoding: chunked") + received + b"3;x=" * (not received))
+    for _ in range(MAX_HEAD_BYTES // 1_024):
+        reader.feed(b"x" * 1_024)
+        assert reader.error_status is None
+    reader.feed(b"x" * 1_024)
+    assert reader.error_status == 431
--- a/tulipnotch/sidecar/http1/request_reader.py
+++ b/tulipnotch/sidecar/http1/request_reader.py
@@ -5,7 +5,7 @@
 import httptools
 
 from tulipnotch.sidecar.http1.body import MAX_BODY_BYTES, Body
-from tulipnotch.sidecar.http1.message_reader import MAX_HEAD_BYTES, MessageReader, PartialMessage
+from tulipnotch.sidecar.http1.message_reader import MessageReader, PartialMessage
 from tulipnotch.sidecar.http1.messages import Request
 
 
@@ -30,7 +30,6 @@
         self._message: PartialMessage | None = None
         self._body = Body(is_complete=False)  # body of the request in progress
         self._is_queued = False  # whether the request in progress was added to `requests`
-        self._head_bytes = 0  # bytes received of an incomplete head
         self._parser: httptools.HttpRequestParser = httptools.HttpRequestParser(self)
 
     def release(self) -> None:
@@ -51,16 +50,11 @@
         if self.error_status is not None:
             return
         try:
-            self._parser.feed_data(data)
+            self._parse(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self._reject(400)
-        if self._message is None or self._message.has_head:
-            self._head_bytes = 0
-        else:
-            # Limits memory, since the parser buffers an incomplete head of any length.
-            self._head_bytes += len(data)
-            if self._head_bytes > MAX_HEAD_BYTES:
-                self._reject(431)
+        if self._is_head_too_large:
+            self._reject(431)
 
     def _reject(self, status: int) -> None:
         if self.error_status is None:
@@ -73,6 +67,7 @@
 
     def on_headers_complete(self) -> None:
         """Called by the parser at the end of a head; rejects a request whose head is not acceptable."""
+        self._has_progress = True
         message = self._message
         if message is None or self.error_status is not None:
             return
@@ -93,6 +88,7 @@
 
     def on_body(self, data: bytes) -> None:
         """Called by the parser for each part of a body."""
+        self._has_progress = True
         if self._message is None or self.error_status is not None:
             return
         if self._body.size + len(data) > self._max_body_bytes:
@@ -104,6 +100,7 @@
 
     def on_message_complete(self) -> None:
         """Called by the parser at the last byte of a request."""
+        self._has_progress = True
         message, self._message = self._message, None
         self.awaits_continue = False
         if message is None or self.error_status is not None:
