Count what requests take in memory, and parse few bytes behind a pending one

Callers saw: the process went over its memory limit while clients sent many headers or many requests at once. Cause: the bound on requests counts bytes, but a header of 4 bytes takes 150 as objects, and a request of 18 bytes 800; all that came with one read of 32 KiB was parsed at once, also behind a request whose response was pending. A body that can't be replayed any more frees its buffered part.

--- a/tests/sidecar/http1/test_request_reader.py
+++ b/tests/sidecar/http1/test_request_reader.py
@@ -89,3 +89,25 @@
         assert reader.error_status is None
     reader.feed(b"x" * 1_024)
     assert reader.error_status == 431
+
+
+def test_request_reader_parses_few_bytes_behind_a_complete_request() -> None:
+    # Many short requests behind one whose response is pending must not take a hundred times their bytes.
+    reader = RequestReader()
+    request = b"GET / HTTP/1.1\r\n\r\n"
+    retained_bytes = reader.feed(request * 200)
+    assert retained_bytes >= 200 * len(request)
+    assert 0 < len(reader.requests) <= 30
+    assert reader.pending_input_bytes < 30_000
+    received = 0
+    while reader.next_request() is not None:
+        received += 1
+    assert received == 200
+    assert not reader.has_pending_input
+
+
+def test_request_reader_counts_the_memory_of_short_headers() -> None:
+    reader = RequestReader()
+    data = b"GET / HTTP/1.1\r\n" + b"a:\r\n" * 1_000
+    assert reader.feed(data) > 100 * 1_000
+    assert reader.pending_input_bytes > 100 * 1_000
--- a/tulipnotch/sidecar/downstream/connection.py
+++ b/tulipnotch/sidecar/downstream/connection.py
@@ -102,6 +102,7 @@
     invariants: InvariantChecker
     handler: RequestHandler
     read_buffer: memoryview  # shared by all connections: each read is processed before the next one
+    head_read_buffer: memoryview  # the beginning of the same buffer
 
     @property
     def connection_table(self) -> ConnectionRegistry:
@@ -308,18 +309,13 @@
             self.close(CloseReason.RESPONDED)
             return
         self._set_state(ConnectionState.IDLE)
-        if self._has_pending_input:  # read together with the previous request, so no read event follows
+        if self._reader.has_pending_input:  # received with the previous request, so no read event follows
             self._set_state(ConnectionState.READING)
+            self._owner.connection_table.add_buffered_bytes(self, self._reader.pending_input_bytes)
             asyncio.get_running_loop().call_soon(self._process_input)
         elif not self._is_writing_paused:
             self._resume_reading()
 
-    @property
-    def _has_pending_input(self) -> bool:
-        """Whether the reader has a further request, a part of one, or an error in one."""
-        reader = self._reader
-        return reader.is_mid_message or bool(reader.requests) or reader.error_status is not None
-
     # Closing the connection
 
     def close(self, reason: CloseReason) -> None:
@@ -397,8 +393,11 @@
         self._owner.connection_table.add(self)
 
     def get_buffer(self, _sizehint: int) -> memoryview:
-        """Returns the buffer for the next read."""
-        return self._owner.read_buffer
+        """Returns the buffer for the next read, a short one unless a body is being received.
+
+        What is received behind a request waits in memory until that request has its response.
+        """
+        return self._owner.read_buffer if self._reader.has_head else self._owner.head_read_buffer
 
     def buffer_updated(self, nbytes: int) -> None:
         """Processes the bytes that were read into the buffer."""
@@ -409,23 +408,24 @@
         now = asyncio.get_running_loop().time()
         self._progress.record_received(now, nbytes)
         reader = self._reader
-        if not reader.is_mid_message and not reader.requests:
+        if not reader.has_pending_input:
             self._classes = self._owner.classes
         had_head = reader.has_head
-        reader.feed(bytes(self._owner.read_buffer[:nbytes]))
+        retained_bytes = reader.feed(bytes(self._owner.read_buffer[:nbytes]))
         if reader.has_head and not had_head:
             self._progress.start_window(now)
         if self.state is ConnectionState.STREAMING_BODY:
             # Must precede the counting of the bytes, which may abandon a request in this state: a request
             # must not be abandoned once its last byte was forwarded.
             self._process_streamed_body()
-        # Caps what is counted, since no more than this is ever buffered of a streamed body.
-        max_bytes = MAX_BUFFERED_BODY_BYTES + _MAX_PENDING_BODY_BYTES - self.buffered_bytes
-        self._owner.connection_table.add_buffered_bytes(self, min(nbytes, max_bytes))
+            # Caps what is counted, since no more than this is ever buffered of a streamed body.
+            max_bytes = MAX_BUFFERED_BODY_BYTES + _MAX_PENDING_BODY_BYTES - self.buffered_bytes
+            retained_bytes = min(retained_bytes, max(max_bytes, 0))
+        self._owner.connection_table.add_buffered_bytes(self, retained_bytes)
         self._process_input()
         if self._request_number is None or self.state is ConnectionState.STREAMING_BODY:
             return
-        if self._has_pending_input:
+        if reader.has_pending_input:
             self._pause_reading()  # until the response to the current request is written
 
     def pause_writing(self) -> None:
@@ -465,8 +465,9 @@
             transport = self._open_transport
             if transport is None or self._is_writing_paused:
                 return  # a client that does not read its responses gets no further ones
-            if self._reader.requests:
-                self._dispatch_request(self._reader.requests.pop(0))
+            request = self._reader.next_request()
+            if request is not None:
+                self._dispatch_request(request)
             elif self._reader.error_status is not None:
                 self.reject(self._reader.error_status)
             else:
--- a/tulipnotch/sidecar/downstream/server.py
+++ b/tulipnotch/sidecar/downstream/server.py
@@ -18,6 +18,7 @@
 from tulipnotch.sidecar.requests.invariants import CloseReason, InvariantChecker
 
 _READ_BUFFER_BYTES = 32 << 10
+_HEAD_READ_BUFFER_BYTES = 4 << 10
 # How long a service class that a reload has removed stays valid, for requests that are in transit meanwhile.
 _CLASS_RETENTION_S = 2.0
 
@@ -48,6 +49,7 @@
         self.handler = handler
         self.invariants = invariants
         self.read_buffer = memoryview(bytearray(_READ_BUFFER_BYTES))
+        self.head_read_buffer = self.read_buffer[:_HEAD_READ_BUFFER_BYTES]
         self.connection_table = ConnectionTable(limits)
         self._timeouts = TimeoutSweep(self.connection_table, limits, lifecycle)
         self._acceptor: Acceptor | None = None
--- a/tulipnotch/sidecar/http1/body.py
+++ b/tulipnotch/sidecar/http1/body.py
@@ -17,7 +17,7 @@
     Each of the three callbacks belongs to one owner, which sets it and resets it to None.
 
     Attributes:
-        buffered: The part that every attempt starts with.
+        buffered: The part that every attempt starts with; empty once the body cannot be sent again.
         size: Number of bytes received so far, buffered or not.
         is_complete: Whether the last byte was received.
         is_replayable: Whether nothing was removed yet, so that a further attempt can send the whole body.
@@ -60,9 +60,10 @@
 
     def feed(self, data: bytes) -> None:
         """Adds bytes that were received."""
-        fits_buffer = not self.is_streamed and self.size + len(data) <= MAX_BUFFERED_BODY_BYTES
+        capacity = 0 if self.is_streamed else MAX_BUFFERED_BODY_BYTES - self.size
         self.size += len(data)
-        (self.buffered if fits_buffer else self._pending).extend(data)
+        self.buffered += data[:capacity]
+        self._pending += data[capacity:]
         if self.on_data is not None:
             self.on_data()
 
@@ -80,6 +81,7 @@
         removed = bytes(self._pending[: len(self._pending) - except_last])
         del self._pending[: len(removed)]
         self.is_replayable = False
+        self.buffered = bytearray()  # no further attempt sends it
         if self.on_consumed is not None:
             self.on_consumed()
         return removed
--- a/tulipnotch/sidecar/http1/message_reader.py
+++ b/tulipnotch/sidecar/http1/message_reader.py
@@ -49,6 +49,7 @@
 
     _message: PartialMessage | None
     _parser: _Parser
+    header_count = 0  # headers and trailers received so far, of all messages
     _has_progress = False
     _bytes_without_progress = 0
 
@@ -88,5 +89,6 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Called by the parser for each header and each trailer."""
+        self.header_count += 1
         if self._message is not None:
             self._message.add_header(name, value)
