Fail the response to a health check that is too large to buffer

Cause: a response whose observer doesn't stream was buffered up to 32 MB; the doc comment said that it fails. The decisions send no health checks today, so no caller has met it. Change: such an exchange fails as malformed (body_too_large) once its length or its bytes exceed the buffer.

--- a/tulipnotch/sidecar/http1/response_reader.py
+++ b/tulipnotch/sidecar/http1/response_reader.py
@@ -102,6 +102,13 @@
         """Number of bytes of the body that are buffered."""
         return len(self._buffered_body)
 
+    @property
+    def exceeds_buffer(self) -> bool:
+        """Whether the body of a 200 is larger than what is buffered of it."""
+        if self.head is None or self.head.status != 200:
+            return False
+        return max(self.head.length or 0, self._received_body_bytes) > self._max_buffered_bytes
+
     def pop_buffered_body(self) -> bytes:
         """Removes and returns the buffered part of the body."""
         removed = bytes(self._buffered_body)
--- a/tulipnotch/sidecar/upstream/connection.py
+++ b/tulipnotch/sidecar/upstream/connection.py
@@ -301,9 +301,12 @@
             self._fail_malformed(ResponseFault.BEFORE_REQUEST)
             return
         if isinstance(self._state, AwaitingResponse):
-            head = reader.head_to_stream
-            if head is not None and self._state.observer.streams_responses:
-                self._start_streaming(self._state, head)
+            if not self._state.observer.streams_responses:
+                if reader.exceeds_buffer:
+                    self._fail_malformed(ResponseFault.BODY_TOO_LARGE)
+                    return
+            elif reader.head_to_stream is not None:
+                self._start_streaming(self._state, reader.head_to_stream)
         state = self._state
         if isinstance(state, Streaming):
             data = reader.pop_buffered_body()
