Free the body of a response once its connection to the server is idle

Cause: the reader kept the last body until the connection's next response: 64 KiB for each idle connection. Evidence: test_idle_connection_to_a_server_retains_no_part_of_its_last_response, red before (60,000 bytes held). Change: the reader's part is freed as the response is taken.

--- a/tests/sidecar/test_process_memory.py
+++ b/tests/sidecar/test_process_memory.py
@@ -3,8 +3,9 @@
 from __future__ import annotations
 
 import pytest
-from loopback import OK_RESPONSE, run_async, sidecar_harness
+from loopback import OK_RESPONSE, http_response, run_async, sidecar_harness, wait_until
 
+from tulipnotch.load_balancing.actions import StartHealthCheck
 from tulipnotch.sidecar.process_memory import (
     BufferUsage,
     MemoryMonitor,
@@ -67,3 +68,29 @@
             assert f"malformed response of s-0: {fault}; request id-{number}" in harness.log
 
     run_async(work)
+
+
+def test_idle_connection_to_a_server_retains_no_part_of_its_last_response() -> None:
+    # Hundreds of idle connections would otherwise hold 64 KiB each until their next response.
+    async def work() -> None:
+        async with sidecar_harness(http_response(bytes(60_000))) as harness:
+            for _ in range(3):
+                assert len((await harness.send_request("check")).body) == 60_000
+            await wait_until(lambda: harness.sidecar.open_requests == 0)
+            usage = harness.sidecar.buffer_usage()
+            assert (usage.servers, usage.response_bytes) == (1, 0)
+
+    run_async(work)
+
+
+@pytest.mark.parametrize("framing", [b"Content-Length: 70000", b"Connection: close"], ids=["length", "close"])
+def test_response_to_a_health_check_fails_when_it_is_too_large_to_buffer(framing: bytes) -> None:
+    async def work() -> None:
+        response = b"HTTP/1.1 200 OK\r\n" + framing + b"\r\n\r\n" + bytes(70_000)
+        async with sidecar_harness(response) as harness:
+            harness.sidecar._executor.execute(StartHealthCheck("s-0"))
+            line = "malformed response of s-0: body_too_large; request health check"
+            await wait_until(lambda: line in harness.log)
+            assert harness.sidecar.buffer_usage().response_bytes == 0
+
+    run_async(work)
--- a/tulipnotch/sidecar/http1/response_reader.py
+++ b/tulipnotch/sidecar/http1/response_reader.py
@@ -109,6 +109,13 @@
             return False
         return max(self.head.length or 0, self._received_body_bytes) > self._max_buffered_bytes
 
+    def take_response(self) -> Response | None:
+        """Returns the complete response like `response`, and frees the reader's part of its body."""
+        response = self.response
+        if response is not None:
+            self._buffered_body = bytearray()
+        return response
+
     def pop_buffered_body(self) -> bytes:
         """Removes and returns the buffered part of the body."""
         removed = bytes(self._buffered_body)
--- a/tulipnotch/sidecar/upstream/connection.py
+++ b/tulipnotch/sidecar/upstream/connection.py
@@ -314,7 +314,7 @@
                 state.consumer.write_body(data)
         if not isinstance(self._state, (AwaitingResponse, Streaming, Writing)):
             return  # the observer or the consumer has closed the connection
-        response = reader.response
+        response = reader.take_response()
         if response is not None:
             self._complete_exchange(self._state, response)
         elif reader.is_mid_message and self._stall_timer is None:
