Bound what responses take in memory over all connections

Callers saw: the process went over its memory limit with many responses that were each below their own bound. Cause: each connection may buffer 64 KiB of a response, and 96 KiB for a client that reads slowly, and nothing bounded the sum over some 490 connections each way. Change: connections count what they hold in one budget, a sixth of the memory limit. Below it, nothing changes but the point at which a client's unsent output pauses its server. When it is exhausted, responses are passed on as they arrive, in reads of 4 KiB, and pause while their clients don't read. It is halved while two processes may run. The transports of the test network accept the new limit for clients; that of servers is still checked to be 0.

--- a/tests/flooding.py
+++ b/tests/flooding.py
@@ -132,6 +132,7 @@
 
     running: SidecarProcess
     servers: Sequence[FloodingServer]
+    memory_mb: int
     clients: list[Client] = field(default_factory=list)
 
     def set_flood(self, flood: Flood | None) -> None:
@@ -190,7 +191,7 @@
         exit_code = self.running.process.returncode
         assert exit_code is None, f"the process has ended with {exit_code}"
         peak_mb = self.peak_mb
-        assert peak_mb <= MEMORY_LIMIT_MB, f"{peak_mb:.1f} MB of {MEMORY_LIMIT_MB} MB"
+        assert peak_mb <= self.memory_mb, f"{peak_mb:.1f} MB of {self.memory_mb} MB"
 
 
 async def _read_status(client: Client) -> int:
@@ -226,7 +227,7 @@
     path.write_text(json.dumps(config))
     unused_server = ScriptedServer(None)
     async with running_sidecar(path, unused_server) as running:
-        sidecar = FloodedSidecar(running, servers)
+        sidecar = FloodedSidecar(running, servers, memory_mb)
         log = asyncio.ensure_future(_discard_log(running))
         try:
             yield sidecar
--- a/tests/sidecar/test_memory_limit.py
+++ b/tests/sidecar/test_memory_limit.py
@@ -16,6 +16,7 @@
 _CHUNKED = b"Transfer-Encoding: chunked\r\n\r\n"
 _LONG_HEADER = b"X-Filler: " + b"x" * 1_000 + b"\r\n"
 _SHORT_HEADER = b"a:\r\n"
+_LARGEST_BUFFERED_HEAD = _STATUS_LINE + b"Content-Length: 60000\r\n\r\n"
 _SERVERS_HANG = Flood(b"")
 _CONNECTION_COUNT = 450  # of about 490 that the descriptors allow
 _WARM_UP_ROUNDS = 12  # by which the concurrency limit admits a request of each connection
@@ -75,6 +76,17 @@
     run_async(work)
 
 
+async def _connect_and_warm_up(sidecar: FloodedSidecar) -> Sequence[Client]:
+    """Connects clients, and sends requests on all connections until the concurrency limit admits them."""
+    clients = await sidecar.connect(_CONNECTION_COUNT)
+    for _ in range(_WARM_UP_ROUNDS):
+        for client in clients:
+            client.send(http_request("check", timeout="3.0"))
+        statuses = await sidecar.wait_for_responses(clients)
+    assert statuses.count(200) > _CONNECTION_COUNT // 2
+    return clients
+
+
 async def _fill_with_request_heads(_sidecar: FloodedSidecar, clients: Sequence[Client]) -> None:
     for client in clients:
         client.send(b"GET / HTTP/1.1\r\n" + _SHORT_HEADER * 3_900)
@@ -112,15 +124,31 @@
 ) -> None:
     async def work() -> None:
         async with flooded_sidecar(tmp_path, None) as sidecar:
-            clients = await sidecar.connect(_CONNECTION_COUNT)
-            for _ in range(_WARM_UP_ROUNDS):
-                for client in clients:
-                    client.send(http_request("check", timeout="3.0"))
-                statuses = await sidecar.wait_for_responses(clients)
-            assert statuses.count(200) > _CONNECTION_COUNT // 2
+            clients = await _connect_and_warm_up(sidecar)
             await fill(sidecar, clients)
             await asyncio.sleep(1.5)  # shorter than the timeouts of what was sent
             await sidecar.wait_until_served()
             sidecar.assert_within_memory_limit()
 
     run_async(work)
+
+
+@pytest.mark.parametrize(
+    "flood",
+    [
+        pytest.param(Flood(_LARGEST_BUFFERED_HEAD + b"x" * 60_000), id="unread"),
+        pytest.param(Flood(_LARGEST_BUFFERED_HEAD + b"x" * 59_000), id="stalled"),
+    ],
+)
+def test_memory_is_limited_when_many_responses_are_buffered(flood: Flood, tmp_path: Path) -> None:
+    async def work() -> None:
+        async with flooded_sidecar(tmp_path, None, memory_mb=52) as sidecar:
+            clients = await _connect_and_warm_up(sidecar)
+            sidecar.set_flood(flood)
+            for client in clients:
+                client.send(http_request("check", timeout="3.0"))  # and reads nothing
+            await asyncio.sleep(1.5)
+            await sidecar.wait_until_served()
+            sidecar.assert_within_memory_limit()
+
+    run_async(work)
--- a/tests/sidecar/upstream/virtual_network.py
+++ b/tests/sidecar/upstream/virtual_network.py
@@ -150,9 +150,6 @@
     def is_closing(self) -> bool:
         return self.is_closed
 
-    def set_write_buffer_limits(self, high: int | None = None, low: int | None = None) -> None:
-        assert high == 0
-
     def pause_reading(self) -> None:
         """Does nothing: the script decides what is read."""
 
@@ -199,6 +196,9 @@
         self.was_reset = False
         self.has_blocked_rest = False
 
+    def set_write_buffer_limits(self, high: int | None = None, low: int | None = None) -> None:
+        assert high == 0
+
     @property
     def exchange(self) -> Exchange | None:
         """The last exchange, or None."""
@@ -325,6 +325,10 @@
         self.is_disconnect_unread = False  # whether the loop has not read the end yet
         protocol.connection_made(self)
 
+    def set_write_buffer_limits(self, high: int | None = None, low: int | None = None) -> None:
+        assert high is not None
+        assert high > 0
+
     def write(self, data: bytes) -> None:
         if data.startswith(b"HTTP/1.1 "):
             self.on_response(int(data[9:12]))
--- a/tulipnotch/sidecar/descriptor_budget.py
+++ b/tulipnotch/sidecar/descriptor_budget.py
@@ -8,6 +8,7 @@
 
 from tulipnotch.sidecar.configuration.configuration import Config
 from tulipnotch.sidecar.downstream.client_limits import ClientLimits
+from tulipnotch.sidecar.response_budget import ResponseBudget
 
 RESERVED_DESCRIPTORS = 32  # for everything except connections of clients, servers and operators
 # Minimum fraction of all descriptors for clients and servers, however many operators may connect.
@@ -18,6 +19,9 @@
 # For each MB of the memory limit: connections may use a quarter of it, at 4 KiB for an idle connection.
 _CONNECTIONS_PER_MB = (1 << 20) // 4 // 4_096
 _REQUEST_BYTES_PER_MB = (1 << 20) // 8  # for each MB of the memory limit: pending requests may use an eighth
+_RESPONSE_BYTES_PER_MB = (1 << 20) // 6  # likewise, for responses that no client has accepted yet
+# The memory for responses is multiplied by this while a second process of this sidecar may be running.
+_SHARED_RESPONSE_FRACTION = 0.5
 
 
 class LimitedConnections(Protocol):
@@ -46,6 +50,7 @@
         control_connections: int,
         downstream: LimitedConnections,
         upstream: LimitedConnections,
+        response_budget: ResponseBudget,
     ) -> None:
         """Divides the descriptors and the memory that the configuration allows."""
         self._descriptors = config.sockets
@@ -53,6 +58,7 @@
         self._control_connections = control_connections
         self._downstream = downstream
         self._upstream = upstream
+        self._response_budget = response_budget
         self._is_shared = False  # whether a second process of this sidecar may be running
         self._update_limits()
 
@@ -79,3 +85,7 @@
         self._upstream.max_connections = int(
             (connections - downstream) * (_SHARED_UPSTREAM_FRACTION if self._is_shared else 1.0)
         )
+        response_bytes = self._memory_mb * _RESPONSE_BYTES_PER_MB
+        self._response_budget.set_limits(
+            int(response_bytes * (_SHARED_RESPONSE_FRACTION if self._is_shared else 1.0)), downstream
+        )
--- a/tulipnotch/sidecar/downstream/connection.py
+++ b/tulipnotch/sidecar/downstream/connection.py
@@ -31,6 +31,7 @@
 )
 from tulipnotch.sidecar.http1.request_reader import RequestReader
 from tulipnotch.sidecar.requests.invariants import CloseReason, InvariantChecker
+from tulipnotch.sidecar.response_budget import CountedBytes, ResponseBudget
 from tulipnotch.sidecar.sockets import borrow_socket, has_unread_input, is_peer_closed, register_for_input
 
 # Reading from the client pauses while this much of a streamed body waits to be written to the server.
@@ -101,6 +102,7 @@
     lifecycle: Lifecycle
     invariants: InvariantChecker
     handler: RequestHandler
+    response_budget: ResponseBudget
     read_buffer: memoryview  # shared by all connections: each read is processed before the next one
     head_read_buffer: memoryview  # the beginning of the same buffer
 
@@ -130,6 +132,7 @@
         "_accept_delay_s",
         "_classes",
         "_close_reason",
+        "_counted_output",
         "_input_poll",
         "_is_writing_paused",
         "_owner",
@@ -163,6 +166,7 @@
         self._request_number: int | None = None  # the handler's number, while the response is pending
         self._stream: ResponseStream | None = None  # set while a response is streamed
         self._is_writing_paused = False
+        self._counted_output = CountedBytes(owner.response_budget)
         self.is_reading_paused = False
         self._progress = TransferProgress()
         self._close_reason: CloseReason | None = None  # None: the sidecar has not closed the connection
@@ -246,6 +250,7 @@
             headers = [*headers, (b"connection", b"close")]
         with_body = request is None or request.method != b"HEAD"
         transport.write(Response(status, headers, body, length).encode(with_body=with_body))
+        self._count_output()
         self._finish_exchange(closing=closing)
 
     def start_response(
@@ -274,6 +279,7 @@
         if transport is not None:
             self._progress.last_progress_at = asyncio.get_running_loop().time()
             transport.write(data if self._stream is None else self._stream.encode(data))
+            self._count_output()
 
     def finish_response(self) -> None:
         """Ends a streamed response whose body is complete."""
@@ -286,6 +292,11 @@
             transport.write(end)
         self._finish_exchange(closing=self._closes_after(self._request))
 
+    def _count_output(self) -> None:
+        """Counts the unsent output, unless it is so little that writing will not be paused."""
+        unsent = self.unsent_bytes
+        self._counted_output.set(unsent if unsent > self._owner.response_budget.max_uncounted_bytes else 0)
+
     @property
     def _open_transport(self) -> asyncio.Transport | None:
         transport = self._transport
@@ -389,6 +400,7 @@
         """Registers the connection; the event loop starts to read from it."""
         # uvloop's transports do not derive from those of asyncio, so an isinstance check would fail.
         self._transport = cast("asyncio.Transport", transport)
+        self._transport.set_write_buffer_limits(high=self._owner.response_budget.max_uncounted_bytes)
         register_for_input(self._input_poll, transport)
         self._owner.connection_table.add(self)
 
@@ -440,6 +452,7 @@
     def resume_writing(self) -> None:
         """Resumes the source of the response and the processing of input, as the client has read data."""
         self._is_writing_paused = False
+        self._count_output()
         self._progress.last_progress_at = asyncio.get_running_loop().time()
         if self._stream is not None:
             self._stream.producer.resume()
@@ -453,6 +466,7 @@
         """Notifies the handler and releases everything that the connection holds."""
         self._notify_client_disconnected()
         self._reader.release()
+        self._counted_output.set(0)
         self._owner.handler.connection_closed(self._close_reason or CloseReason.CLIENT_DISCONNECTED)
         self._owner.connection_table.remove(self)
         self.state = ConnectionState.CLOSING
--- a/tulipnotch/sidecar/downstream/server.py
+++ b/tulipnotch/sidecar/downstream/server.py
@@ -16,6 +16,7 @@
 from tulipnotch.sidecar.downstream.timeouts import TimeoutSweep
 from tulipnotch.sidecar.http1.messages import Request
 from tulipnotch.sidecar.requests.invariants import CloseReason, InvariantChecker
+from tulipnotch.sidecar.response_budget import ResponseBudget
 
 _READ_BUFFER_BYTES = 32 << 10
 _HEAD_READ_BUFFER_BYTES = 4 << 10
@@ -33,6 +34,7 @@
         lifecycle: Lifecycle,
         handler: RequestHandler,
         invariants: InvariantChecker,
+        response_budget: ResponseBudget | None = None,
     ) -> None:
         """Creates a server that accepts nothing until `listen` is called and `max_connections` is set.
 
@@ -42,12 +44,14 @@
             lifecycle: The lifecycle phase, which tells whether the sidecar is ready or draining.
             handler: Responds to requests.
             invariants: Checks that no connection is closed while its response is pending.
+            response_budget: Bounds what all connections hold of responses; None: there is no bound.
         """
         self._settings = settings
         self.classes: Mapping[str, ServiceClass] = {each.name: each for each in settings.classes}
         self.lifecycle = lifecycle
         self.handler = handler
         self.invariants = invariants
+        self.response_budget = response_budget or ResponseBudget()
         self.read_buffer = memoryview(bytearray(_READ_BUFFER_BYTES))
         self.head_read_buffer = self.read_buffer[:_HEAD_READ_BUFFER_BYTES]
         self.connection_table = ConnectionTable(limits)
--- a/tulipnotch/sidecar/http1/response_reader.py
+++ b/tulipnotch/sidecar/http1/response_reader.py
@@ -102,6 +102,13 @@
         """Number of bytes of the body that are buffered."""
         return len(self._buffered_body)
 
+    @property
+    def incomplete_head(self) -> Response | None:
+        """The head of a 200 of whose body some was received, but not all; None in any other state."""
+        if self._state is not _ResponseState.INCOMPLETE or not self._buffered_body:
+            return None
+        return self.head
+
     @property
     def exceeds_buffer(self) -> bool:
         """Whether the body of a 200 is larger than what is buffered of it."""
--- a/tulipnotch/sidecar/sidecar.py
+++ b/tulipnotch/sidecar/sidecar.py
@@ -42,6 +42,7 @@
 from tulipnotch.sidecar.requests.request_registry import RequestRegistry
 from tulipnotch.sidecar.requests.responses import ResponseSender
 from tulipnotch.sidecar.requests.trace import Trace
+from tulipnotch.sidecar.response_budget import ResponseBudget
 from tulipnotch.sidecar.service_level_monitor import ServiceLevelMonitor, ServiceLevels
 from tulipnotch.sidecar.shutdown import Shutdown
 from tulipnotch.sidecar.startup import Startup
@@ -65,7 +66,8 @@
         """
         self.config = config
         self.lifecycle = Lifecycle()
-        self._context = _create_context(config, options, self.lifecycle)
+        self._response_budget = ResponseBudget()
+        self._context = _create_context(config, options, self.lifecycle, self._response_budget)
         self.telemetry = self._context.telemetry
         self._upstream = self._context.upstream
         self._balancer = Balancer(config.settings, config.seed)
@@ -77,12 +79,15 @@
             self.lifecycle,
             RequestReceiver(self._context, self._registry, self._responses, self._events),
             self._context.invariants,
+            self._response_budget,
         )
         # A reload does not change this limit, since the control endpoint is created only once.
         self.max_control_connections = limit_control_connections(
             config.sockets, options.control_limits.max_connections
         )
-        self._budget = DescriptorBudget(config, self.max_control_connections, self.downstream, self._upstream)
+        self._budget = DescriptorBudget(
+            config, self.max_control_connections, self.downstream, self._upstream, self._response_budget
+        )
         self._create_action_executor()
         self._create_control_commands(options.service_levels)
         self._create_startup_and_shutdown()
@@ -246,7 +251,9 @@
         self._memory_monitor.stop()
 
 
-def _create_context(config: Config, options: OperatorOptions, lifecycle: Lifecycle) -> SidecarContext:
+def _create_context(
+    config: Config, options: OperatorOptions, lifecycle: Lifecycle, response_budget: ResponseBudget
+) -> SidecarContext:
     log = options.log
     clock = Clock()
     trace = Trace(log) if options.traces_requests else None
@@ -258,7 +265,7 @@
     return SidecarContext(
         config.settings,
         clock,
-        UpstreamPool(clock, config.settings, invariants),
+        UpstreamPool(clock, config.settings, invariants, response_budget),
         log=log,
         telemetry=Telemetry(each.name for each in config.settings.classes),
         invariants=invariants,
--- a/tulipnotch/sidecar/upstream/connection.py
+++ b/tulipnotch/sidecar/upstream/connection.py
@@ -20,6 +20,7 @@
 from tulipnotch.sidecar.http1.messages import Request, Response
 from tulipnotch.sidecar.http1.response_fault import ResponseFault
 from tulipnotch.sidecar.http1.response_reader import ResponseReader
+from tulipnotch.sidecar.response_budget import CountedBytes, ResponseBudget
 from tulipnotch.sidecar.sockets import borrow_socket
 from tulipnotch.sidecar.upstream.errors import ConnectionNotIdleError
 from tulipnotch.sidecar.upstream.exchange import (
@@ -42,6 +43,7 @@
 # event loop's own buffer takes 256 KiB for each read, and several reads may come before a connection that
 # receives too much is closed.
 _READ_BUFFER = memoryview(bytearray(32 << 10))
+_SHORT_READ_BUFFER = _READ_BUFFER[: 4 << 10]  # for reads while the response budget is exhausted
 
 
 class ConnectionOwner(Protocol):
@@ -68,7 +70,11 @@
     """One connection to a server; owns its socket and the exchange in flight."""
 
     def __init__(
-        self, reader: ResponseReader, owner: ConnectionOwner | None, response_stall_timeout_s: float
+        self,
+        reader: ResponseReader,
+        owner: ConnectionOwner | None,
+        response_stall_timeout_s: float,
+        budget: ResponseBudget | None = None,
     ) -> None:
         """Starts in the state CONNECTING.
 
@@ -77,8 +83,11 @@
             owner: Notified when the connection becomes idle or is closed; None: nobody is notified.
             response_stall_timeout_s: The longest time without progress of a response that has started and is
                 not streamed.
+            budget: Bounds what all connections buffer; None: this connection is not counted.
         """
         self._reader = reader
+        self._budget = budget or ResponseBudget()
+        self._buffered_bytes = CountedBytes(self._budget)
         self._owner = owner
         self._response_stall_timeout_s = response_stall_timeout_s
         self._state: _UnusedState | Exchange | Closed = _UnusedState.CONNECTING
@@ -173,6 +182,7 @@
                 borrowed.shutdown(socket.SHUT_RDWR)
             self._transport.abort()
         self._reader.release()
+        self._buffered_bytes.set(0)
         if self._owner is not None:
             self._owner.connection_closed(self)
 
@@ -199,7 +209,7 @@
 
     def get_buffer(self, _sizehint: int) -> memoryview:
         """Returns the buffer that all connections read into."""
-        return _READ_BUFFER
+        return _SHORT_READ_BUFFER if self._budget.is_exhausted else _READ_BUFFER
 
     def buffer_updated(self, nbytes: int) -> None:
         """Processes received data; closes the connection if no exchange is in flight."""
@@ -288,25 +298,19 @@
         self._progress_at = asyncio.get_running_loop().time()
         self._reader.feed(data)
         self._process_response()
+        self._buffered_bytes.set(self._reader.buffered_bytes)
 
     def _process_response(self) -> None:
         """Passes on streamed data, and ends the exchange if the response is complete or malformed."""
         reader = self._reader
-        if reader.fault is not None:
-            self._fail_malformed(reader.fault)
-            return
-        if isinstance(self._state, Writing) and reader.head is not None and reader.head.status == 200:
-            # A server can't have executed an incomplete request, so this response belongs to another one.
-            # Its body must not be buffered until the request is written, which its client may delay.
-            self._fail_malformed(ResponseFault.BEFORE_REQUEST)
+        fault = self._find_response_fault()
+        if fault is not None:
+            self._fail_malformed(fault)
             return
         if isinstance(self._state, AwaitingResponse):
-            if not self._state.observer.streams_responses:
-                if reader.exceeds_buffer:
-                    self._fail_malformed(ResponseFault.BODY_TOO_LARGE)
-                    return
-            elif reader.head_to_stream is not None:
-                self._start_streaming(self._state, reader.head_to_stream)
+            head = self._head_to_stream(self._state)
+            if head is not None:
+                self._start_streaming(self._state, head)
         state = self._state
         if isinstance(state, Streaming):
             data = reader.pop_buffered_body()
@@ -322,6 +326,27 @@
             # late to try another server.  Interim (1xx) responses do not count as a start.
             self._check_stall()
 
+    def _find_response_fault(self) -> ResponseFault | None:
+        """Returns why the part of the response that was received is malformed; None if it is not."""
+        reader, state = self._reader, self._state
+        if reader.fault is not None:
+            return reader.fault
+        if isinstance(state, Writing) and reader.head is not None and reader.head.status == 200:
+            # A server can't have executed an incomplete request, so this response belongs to another one.
+            # Its body must not be buffered until the request is written, which its client may delay.
+            return ResponseFault.BEFORE_REQUEST
+        if isinstance(state, AwaitingResponse) and not state.observer.streams_responses:
+            return ResponseFault.BODY_TOO_LARGE if reader.exceeds_buffer else None
+        return None
+
+    def _head_to_stream(self, awaiting: AwaitingResponse) -> Response | None:
+        """Returns the head of a response whose body is to be streamed from now on; None if it is not."""
+        if not awaiting.observer.streams_responses:
+            return None
+        if self._budget.is_exhausted and self._reader.incomplete_head is not None:
+            return self._reader.incomplete_head
+        return self._reader.head_to_stream
+
     def _start_streaming(self, awaiting: AwaitingResponse, head: Response) -> None:
         """Asks the observer for a consumer of the response; the exchange fails without one."""
         consumer = awaiting.observer.response_started(head)
--- a/tulipnotch/sidecar/upstream/pool.py
+++ b/tulipnotch/sidecar/upstream/pool.py
@@ -13,6 +13,7 @@
 from tulipnotch.sidecar.http1.body import MAX_BODY_BYTES, MAX_BUFFERED_BODY_BYTES
 from tulipnotch.sidecar.http1.response_reader import ResponseReader
 from tulipnotch.sidecar.requests.invariants import Invariant, InvariantChecker
+from tulipnotch.sidecar.response_budget import ResponseBudget
 from tulipnotch.sidecar.upstream.connection import UpstreamConnection
 from tulipnotch.sidecar.upstream.dial import dial
 from tulipnotch.sidecar.upstream.endpoint_connections import EndpointConnections, IdleConnection
@@ -37,9 +38,16 @@
             the process's file descriptor budget.
     """
 
-    def __init__(self, clock: Clock, settings: Settings, invariants: InvariantChecker | None = None) -> None:
+    def __init__(
+        self,
+        clock: Clock,
+        settings: Settings,
+        invariants: InvariantChecker | None = None,
+        response_budget: ResponseBudget | None = None,
+    ) -> None:
         """Starts without endpoints; no connection is allowed until `max_connections` is set."""
         self.max_connections = 0
+        self._response_budget = response_budget or ResponseBudget()
         self._clock = clock
         self._invariants = invariants or InvariantChecker()
         self._gate = WriteGate(clock)
@@ -172,7 +180,7 @@
 
     def _create_connection(self) -> UpstreamConnection:
         reader = ResponseReader(MAX_BUFFERED_BODY_BYTES, MAX_BODY_BYTES)
-        return UpstreamConnection(reader, self, self._timeouts.response_stall_s)
+        return UpstreamConnection(reader, self, self._timeouts.response_stall_s, self._response_budget)
 
     def _use_connection(
         self, request: UpstreamRequest, endpoint: EndpointConnections, connection: UpstreamConnection
