Bound what decoding the endpoint list takes in memory

Callers saw: nothing yet; the process would go over its memory limit after one response of discovery. Cause: the list was bounded at 4 MiB of bytes, whatever the memory limit, and small JSON values take 20 times their bytes; the error of each failed call kept its document through its traceback until a garbage collection. Change: the bytes are bounded by a thirty-second of the memory limit (4 MiB at most), an estimate of the decoded size by an eighth, and the error is raised after the first one has ended.

--- a/tests/flooding.py
+++ b/tests/flooding.py
@@ -132,6 +132,7 @@
 
     running: SidecarProcess
     servers: Sequence[FloodingServer]
+    discovery: ScriptedDiscovery
     memory_mb: int
     clients: list[Client] = field(default_factory=list)
 
@@ -203,12 +204,20 @@
 
 @asynccontextmanager
 async def flooded_sidecar(
-    folder: Path, flood: Flood | None, memory_mb: int = MEMORY_LIMIT_MB
+    folder: Path,
+    flood: Flood | None,
+    memory_mb: int = MEMORY_LIMIT_MB,
+    discovery_response: bytes | None = None,
 ) -> AsyncIterator[FloodedSidecar]:
-    """Runs a sidecar process with a low memory limit, whose servers all send this flood."""
+    """Runs a sidecar process with a low memory limit, whose servers all send this flood.
+
+    Each call to discovery gets `discovery_response`, if it is given.
+    """
     servers = [await FloodingServer(flood).start() for _ in range(_SERVER_COUNT)]
     discovery = ScriptedDiscovery()
     discovery.servers = [endpoint_entry(f"s-{index}", each.address) for index, each in enumerate(servers)]
+    if discovery_response is not None:
+        discovery.script = discovery_response
     await discovery.start()
     config = {
         **VALID_CONFIG,
@@ -226,8 +235,8 @@
     path = folder / "config.json"
     path.write_text(json.dumps(config))
     unused_server = ScriptedServer(None)
-    async with running_sidecar(path, unused_server) as running:
-        sidecar = FloodedSidecar(running, servers, memory_mb)
+    async with running_sidecar(path, unused_server, allowed_log_pattern="discovery failed") as running:
+        sidecar = FloodedSidecar(running, servers, discovery, memory_mb)
         log = asyncio.ensure_future(_discard_log(running))
         try:
             yield sidecar
--- a/tests/sidecar/discovery/test_endpoint_list_codec.py
+++ b/tests/sidecar/discovery/test_endpoint_list_codec.py
@@ -2,12 +2,18 @@
 
 from __future__ import annotations
 
+import json
 from typing import Any
 
 import pytest
 from loopback import endpoint_entry
 
-from tulipnotch.sidecar.discovery.endpoint_list_codec import DiscoveryFormatError, parse_endpoint_list
+from tulipnotch.sidecar.discovery.endpoint_list_codec import (
+    DiscoveryFormatError,
+    EndpointListLimits,
+    decode_endpoint_list,
+    parse_endpoint_list,
+)
 
 
 def _list_document(**changes: Any) -> dict[str, Any]:
@@ -56,3 +62,21 @@
         parse_endpoint_list(document)
     assert (raised.value.field, raised.value.problem) == (field, problem)
     assert str(raised.value) == (f"{field}: {problem}" if field else problem)
+
+
+def test_decode_endpoint_list_accepts_as_many_servers_as_the_memory_limit_is_meant_for() -> None:
+    entry = {"id": "s-5be2a07c", "addr": "10.1.0.18:8081", "zone": "a", "kind": "m2", "cell": 3}
+    servers = [{**entry, "state": "active", "weight": 1.0, "started_ms": 0}] * 3_200
+    body = json.dumps({"version": 1, "full": True, "servers": servers}).encode()
+    limits = EndpointListLimits.for_memory(memory_mb=32)
+    assert len(body) <= limits.max_bytes
+    assert len(decode_endpoint_list(body, limits).endpoints) == 3_200
+    with pytest.raises(DiscoveryFormatError):
+        decode_endpoint_list(body, EndpointListLimits.for_memory(memory_mb=16))
+
+
+def test_decode_endpoint_list_error_does_not_refer_to_the_document() -> None:
+    # A task keeps the error until its next garbage collection, and the document can take several megabytes.
+    with pytest.raises(DiscoveryFormatError) as caught:
+        decode_endpoint_list(b'{"version":1,"full":true,"servers":[1]}', EndpointListLimits.for_memory(64))
+    assert caught.value.__context__ is None
--- a/tests/sidecar/test_memory_limit.py
+++ b/tests/sidecar/test_memory_limit.py
@@ -8,7 +8,7 @@
 
 import pytest
 from flooding import Flood, FloodedSidecar, flooded_sidecar
-from loopback import Client, http_request, run_async, wait_until
+from loopback import Client, http_request, http_response, run_async, wait_until
 
 pytestmark = pytest.mark.xdist_group("memory limit")
 
@@ -18,6 +18,7 @@
 _SHORT_HEADER = b"a:\r\n"
 _LARGEST_BUFFERED_HEAD = _STATUS_LINE + b"Content-Length: 60000\r\n\r\n"
 _SERVERS_HANG = Flood(b"")
+_LARGEST_LIST_BYTES = 4_000_000
 _CONNECTION_COUNT = 450  # of about 490 that the descriptors allow
 _WARM_UP_ROUNDS = 12  # by which the concurrency limit admits a request of each connection
 
@@ -152,3 +153,17 @@
             sidecar.assert_within_memory_limit()
 
     run_async(work)
+
+
+@pytest.mark.parametrize(
+    "value", [b"[]", b"{}", b'"ab"', b"1.5"], ids=["lists", "objects", "strings", "numbers"]
+)
+def test_memory_is_limited_when_discovery_sends_many_small_values(value: bytes, tmp_path: Path) -> None:
+    async def work() -> None:
+        document = b'{"unknown":[' + b",".join([value] * (_LARGEST_LIST_BYTES // (len(value) + 1))) + b"]}"
+        async with flooded_sidecar(tmp_path, None, discovery_response=http_response(document)) as sidecar:
+            await wait_until(lambda: len(sidecar.discovery.received_requests) >= 3)
+            await sidecar.wait_until_served()
+            sidecar.assert_within_memory_limit()
+
+    run_async(work)
--- a/tulipnotch/sidecar/discovery/client.py
+++ b/tulipnotch/sidecar/discovery/client.py
@@ -11,11 +11,16 @@
 from tulipnotch.load_balancing.settings import DiscoveryMode, Settings
 from tulipnotch.sidecar.addresses import Address
 from tulipnotch.sidecar.discovery.discovery_connection import DiscoveryConnection
-from tulipnotch.sidecar.discovery.endpoint_list_codec import DiscoveryError, DiscoveryResponse
+from tulipnotch.sidecar.discovery.endpoint_list_codec import (
+    DiscoveryError,
+    DiscoveryResponse,
+    EndpointListLimits,
+)
 from tulipnotch.sidecar.discovery.poll_schedule import MAX_CALLS_IN_FLIGHT, PollIntervals, PollSchedule
 from tulipnotch.sidecar.discovery.watch import DiscoveryCall, EndpointWatch, InstanceSlots
 
 _DEFAULT_SCHEDULE = PollSchedule()
+_DEFAULT_LIST_LIMITS = EndpointListLimits.for_memory(memory_mb=64)
 
 
 class DiscoveryObserver(Protocol):
@@ -51,6 +56,7 @@
         cached: DiscoveryResponse,
         observer: DiscoveryObserver,
         schedule: PollSchedule | None = None,
+        list_limits: EndpointListLimits = _DEFAULT_LIST_LIMITS,
     ) -> None:
         """Creates a client that has made no call yet.
 
@@ -60,10 +66,12 @@
             cached: The endpoint list that was cached before the start.
             observer: Is notified of responses and failures.
             schedule: Replaces the default schedule.
+            list_limits: Limits on each response.
         """
         self._address = address
         self._observer = observer
         self._slots = InstanceSlots(schedule or _DEFAULT_SCHEDULE, settings.instance_index)
+        self._list_limits = list_limits
         self._is_pushed = settings.discovery_mode is DiscoveryMode.PUSHED
         self.apply_settings(settings)
         self.has_endpoint_list = bool(cached.endpoints)
@@ -159,7 +167,9 @@
         task.add_done_callback(self._tasks.discard)
 
     def _new_connection(self) -> DiscoveryConnection:
-        return DiscoveryConnection(self._address, self.intervals.connect_timeout_s, self._slots.schedule)
+        return DiscoveryConnection(
+            self._address, self.intervals.connect_timeout_s, self._slots.schedule, self._list_limits
+        )
 
     async def _fetch(self) -> None:
         connection, revision = self._new_connection(), self._revision
--- a/tulipnotch/sidecar/discovery/discovery_connection.py
+++ b/tulipnotch/sidecar/discovery/discovery_connection.py
@@ -3,13 +3,14 @@
 from __future__ import annotations
 
 import asyncio
-import json
 
 from tulipnotch.sidecar.addresses import Address
 from tulipnotch.sidecar.discovery.endpoint_list_codec import (
     DiscoveryError,
+    DiscoveryFormatError,
     DiscoveryResponse,
-    parse_endpoint_list,
+    EndpointListLimits,
+    decode_endpoint_list,
 )
 from tulipnotch.sidecar.discovery.poll_schedule import PollSchedule
 from tulipnotch.sidecar.http1.messages import Request, Response
@@ -19,7 +20,6 @@
 from tulipnotch.sidecar.upstream.exchange import ExchangeFailure
 
 _PATH = "/catalog/members"
-_MAX_ENDPOINT_LIST_BYTES = 4 << 20
 _FAILURE_TEXTS = {
     ExchangeFailure.UNWRITTEN: "the connection was lost before the request was written",
     ExchangeFailure.CONNECTION_LOST: "the connection was lost before the response was complete",
@@ -34,11 +34,18 @@
 class DiscoveryConnection:
     """Carries calls to discovery one after another; reconnects for a call if the connection has ended."""
 
-    def __init__(self, address: Address, connect_timeout_s: float, schedule: PollSchedule) -> None:
+    def __init__(
+        self,
+        address: Address,
+        connect_timeout_s: float,
+        schedule: PollSchedule,
+        list_limits: EndpointListLimits,
+    ) -> None:
         """Prepares for calls, the first of which connects to `address` within `connect_timeout_s`."""
         self._address = address
         self._connect_timeout_s = connect_timeout_s
         self._schedule = schedule
+        self._list_limits = list_limits
         self._connection: UpstreamConnection | None = None
 
     def close(self) -> None:
@@ -71,8 +78,8 @@
         if response.status != 200:
             raise DiscoveryCallError(f"the response has status {response.status}, not 200")
         try:
-            return parse_endpoint_list(json.loads(response.body))
-        except (ValueError, RecursionError) as error:
+            return decode_endpoint_list(response.body, self._list_limits)
+        except DiscoveryFormatError as error:
             raise DiscoveryCallError(f"the response is not a valid endpoint list: {error}") from None
 
     async def _get(self, target: bytes) -> Response | ExchangeFailure:
@@ -113,7 +120,7 @@
     async def _connect_once(self) -> UpstreamConnection:
         def create_protocol() -> UpstreamConnection:
             return UpstreamConnection(
-                ResponseReader(_MAX_ENDPOINT_LIST_BYTES), None, self._schedule.read_timeout_s
+                ResponseReader(self._list_limits.max_bytes), None, self._schedule.read_timeout_s
             )
 
         _, connection = await asyncio.get_running_loop().create_connection(create_protocol, *self._address)
--- a/tulipnotch/sidecar/discovery/endpoint_list_codec.py
+++ b/tulipnotch/sidecar/discovery/endpoint_list_codec.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import json
 from typing import Any, NamedTuple
 
 from tulipnotch.load_balancing.events import (
@@ -17,6 +18,14 @@
 
 _STATES = {"active": EndpointState.READY, "leaving": EndpointState.DRAINING, "left": EndpointState.REMOVED}
 
+_MAX_BYTES = 4 << 20  # longest response that any memory limit allows
+# Bytes of a response, and of the memory that decoding it may take, for each MB of the memory limit.
+_BYTES_PER_MB = (1 << 20) // 32
+_DECODED_BYTES_PER_MB = (1 << 20) // 8
+# Memory of a decoded list or object, and of any other decoded value with its place in one.
+_CONTAINER_BYTES = 150
+_VALUE_BYTES = 100
+
 
 class DiscoveryError(Exception):
     """Base class of the errors of this package."""
@@ -37,6 +46,18 @@
         self.problem = problem
 
 
+class EndpointListLimits(NamedTuple):
+    """Limits on one response of discovery."""
+
+    max_bytes: int
+    max_decoded_bytes: int  # estimate of the memory that the decoded document takes
+
+    @classmethod
+    def for_memory(cls, memory_mb: int) -> EndpointListLimits:
+        """Returns the limits of a process with this memory limit."""
+        return cls(min(memory_mb * _BYTES_PER_MB, _MAX_BYTES), memory_mb * _DECODED_BYTES_PER_MB)
+
+
 class DiscoveredEndpoint(NamedTuple):
     """One endpoint of the list, and the address at which it can be reached."""
 
@@ -58,6 +79,24 @@
         return EndpointsUpdated(kind, [endpoint.description for endpoint in self.endpoints], self.version)
 
 
+def decode_endpoint_list(body: bytes, limits: EndpointListLimits) -> DiscoveryResponse:
+    """Decodes the body of a response.
+
+    Raises:
+        DiscoveryFormatError: It is not an endpoint list, or decoding it would take too much memory.
+    """
+    containers = body.count(b"[") + body.count(b"{")
+    decoded_bytes = len(body) + _CONTAINER_BYTES * containers + _VALUE_BYTES * body.count(b",")
+    if decoded_bytes > limits.max_decoded_bytes:
+        raise DiscoveryFormatError("", f"decoding it takes {decoded_bytes} bytes, too many")
+    try:
+        return parse_endpoint_list(json.loads(body))
+    except (ValueError, RecursionError) as error:
+        problem = str(error)
+    # Raised here, since the traceback of the first error refers to the whole document.
+    raise DiscoveryFormatError("", problem)
+
+
 def parse_endpoint_list(document: object) -> DiscoveryResponse:
     """Converts a JSON document to the response of discovery that it describes.
 
--- a/tulipnotch/sidecar/sidecar.py
+++ b/tulipnotch/sidecar/sidecar.py
@@ -28,7 +28,7 @@
     limit_control_connections,
 )
 from tulipnotch.sidecar.discovery.client import DiscoveryClient
-from tulipnotch.sidecar.discovery.endpoint_list_codec import DiscoveryResponse
+from tulipnotch.sidecar.discovery.endpoint_list_codec import DiscoveryResponse, EndpointListLimits
 from tulipnotch.sidecar.discovery.peers import PeerMessenger
 from tulipnotch.sidecar.downstream.listener import bind_with_retry
 from tulipnotch.sidecar.downstream.server import DownstreamServer
@@ -101,7 +101,11 @@
         config = self.config
         self._endpoint_updates = _EndpointUpdateForwarder(self._context, self._events)
         self._discovery = DiscoveryClient(
-            config.discovery, config.settings, config.known, observer=self._endpoint_updates
+            config.discovery,
+            config.settings,
+            config.known,
+            observer=self._endpoint_updates,
+            list_limits=EndpointListLimits.for_memory(config.memory_mb),
         )
         self._peers = PeerMessenger(
             config.peers,
