--- a/tests/sidecar/test_start_faults.py
+++ b/tests/sidecar/test_start_faults.py
@@ -7,12 +7,13 @@
 import os
 import signal
 import socket
+import tomllib
 from pathlib import Path
 from typing import Any
 
 import pytest
 from loopback import HOST, OK_RESPONSE, run_async, within_timeout
-from running import running_sidecar, server_with_config, start_process
+from running import ROOT, running_sidecar, server_with_config, start_process
 
 
 def _preamble(folder: Path, source: str) -> dict[str, str]:
@@ -70,6 +71,28 @@
     assert record.read_text() == f"tulipnotch.sidecar.{module}"
 
 
+def test_start_survives_sighup_before_the_interpreter_has_loaded_the_program(tmp_path: Path) -> None:
+    command = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())["run"]
+    environ = _preamble(tmp_path, "import os, signal; os.kill(os.getpid(), signal.SIGHUP)")
+
+    async def work() -> None:
+        async with server_with_config(OK_RESPONSE, tmp_path) as (config, _):
+            process = await asyncio.create_subprocess_exec(
+                "/bin/sh",
+                "-c",
+                command,
+                cwd=ROOT,
+                env={**os.environ, **environ, "BALANCER_CONFIG": str(config)},
+                stderr=asyncio.subprocess.PIPE,
+            )
+            try:
+                assert await _wait_until_serving(process)
+            finally:
+                await _kill(process)
+
+    run_async(work)
+
+
 def test_start_succeeds_while_the_previous_version_holds_the_peer_address(
     tmp_path: Path,
 ) -> None:
