Respond before SIGKILL also when the process is suspended just then

Callers saw: a request that came late in a shutdown got no response; its connection was reset by SIGKILL. Cause: the last responses were written 0.1 s before the earliest SIGKILL, and a process may be held up for 0.15 s. Change: the suspension is reserved as well, so a shutdown ends 0.45 s after the longest deadline.

--- a/tulipnotch/sidecar/shutdown.py
+++ b/tulipnotch/sidecar/shutdown.py
@@ -18,6 +18,7 @@
 _MIN_KILL_DELAY_S = 0.7  # SIGKILL follows SIGTERM no earlier than the longest deadline plus this time
 _MAX_DEADLINE_S = 3.0  # a longer deadline does not delay SIGKILL any further
 _FINAL_WRITE_RESERVE_S = 0.1  # reserved before SIGKILL for writing the last responses
+_MAX_SUSPENSION_S = 0.15  # a process may be suspended this long just before it writes them
 _POLL_INTERVAL_S = 0.01  # interval of checks, in which the event loop also writes pending responses
 
 
@@ -47,9 +48,8 @@
         """
         started_at = asyncio.get_running_loop().time()
         deadlines_us = [each.deadline_us for each in self._context.settings.classes]
-        remaining_s = (
-            min(max(deadlines_us) / 1e6, _MAX_DEADLINE_S) + _MIN_KILL_DELAY_S - _FINAL_WRITE_RESERVE_S
-        )
+        kill_delay_s = min(max(deadlines_us) / 1e6, _MAX_DEADLINE_S) + _MIN_KILL_DELAY_S
+        remaining_s = kill_delay_s - _FINAL_WRITE_RESERVE_S - _MAX_SUSPENSION_S
         self._registry.respond_by = self._context.clock.now() + int(remaining_s * 1e6)
         self._downstream.lifecycle.stop()
         if hands_over_listener:
