--- a/tests/sidecar/requests/test_client_disconnects.py
+++ b/tests/sidecar/requests/test_client_disconnects.py
@@ -35,7 +35,8 @@
 from tulipnotch.load_balancing.events import AttemptEnded, Event, RequestArrived, TimerFired
 from tulipnotch.load_balancing.outcomes import Outcome
 from tulipnotch.sidecar.downstream.client_limits import ClientLimits
-from tulipnotch.sidecar.downstream.connection import ConnectionState, DownstreamConnection
+from tulipnotch.sidecar.downstream.connection import DownstreamConnection
+from tulipnotch.sidecar.downstream.connection_state import ConnectionState
 from tulipnotch.sidecar.http1.body import MAX_BUFFERED_BODY_BYTES
 from tulipnotch.sidecar.upstream import pool as upstream
 from tulipnotch.sidecar.upstream.connection import UpstreamConnection
--- a/tests/sidecar/test_race_conditions.py
+++ b/tests/sidecar/test_race_conditions.py
@@ -38,7 +38,8 @@
 from tulipnotch.sidecar.control import endpoint as control_endpoint
 from tulipnotch.sidecar.downstream import listener
 from tulipnotch.sidecar.downstream.client_limits import ClientLimits
-from tulipnotch.sidecar.downstream.connection import ConnectionState, DownstreamConnection
+from tulipnotch.sidecar.downstream.connection import DownstreamConnection
+from tulipnotch.sidecar.downstream.connection_state import ConnectionState
 from tulipnotch.sidecar.sockets import borrow_socket
 from tulipnotch.sidecar.upstream import connection as upstream_connection
 from tulipnotch.sidecar.upstream import pool as upstream_pool
--- a/tulipnotch/sidecar/downstream/connection.py
+++ b/tulipnotch/sidecar/downstream/connection.py
@@ -13,13 +13,13 @@
 import socket
 import struct
 from collections.abc import Mapping
-from enum import Enum, unique
-from typing import Protocol, cast
+from typing import cast
 
 from tulipnotch.load_balancing.settings import ServiceClass
-from tulipnotch.sidecar.control.lifecycle import Lifecycle
 from tulipnotch.sidecar.downstream.client_limits import ClientLimits
-from tulipnotch.sidecar.downstream.incoming_request import BadRequestError, IncomingRequest
+from tulipnotch.sidecar.downstream.connection_state import ConnectionState
+from tulipnotch.sidecar.downstream.incoming_request import BadRequestError
+from tulipnotch.sidecar.downstream.interfaces import ConnectionOwner
 from tulipnotch.sidecar.downstream.response_stream import ResponseProducer, ResponseStream
 from tulipnotch.sidecar.downstream.transfer_progress import TransferProgress
 from tulipnotch.sidecar.http1.body import MAX_BUFFERED_BODY_BYTES
@@ -30,8 +30,8 @@
     Response,
 )
 from tulipnotch.sidecar.http1.request_reader import RequestReader
-from tulipnotch.sidecar.requests.invariants import CloseReason, InvariantChecker
-from tulipnotch.sidecar.response_budget import CountedBytes, ResponseBudget
+from tulipnotch.sidecar.requests.invariants import CloseReason
+from tulipnotch.sidecar.response_budget import CountedBytes
 from tulipnotch.sidecar.sockets import borrow_socket, has_unread_input, is_peer_closed, register_for_input
 
 # Reading from the client pauses while this much of a streamed body waits to be written to the server.
@@ -41,90 +41,6 @@
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
-@unique
-class ConnectionState(Enum):
-    """State of a client's connection."""
-
-    CLOSING = "closing"  # the last response was sent, or what is left of it is being sent
-    CONNECTED = "connected"  # no byte was received yet
-    IDLE = "idle"  # every request that was received has its response
-    READING = "reading"  # a request was received in part and is not forwarded yet
-    STREAMING_BODY = "streaming body"  # a request was received in part, and its body is forwarded as it comes
-    AWAITING_RESPONSE = "awaiting response"  # the request is complete; such a connection is never evicted
-
-
-class RequestHandler(Protocol):
-    """Responds to requests; is notified by all connections of a `DownstreamServer`."""
-
-    def request_received(self, connection: DownstreamConnection, request: IncomingRequest) -> int | None:
-        """Handles a complete request, or the first part of one whose body is streamed.
-
-        Returns:
-            The request's number if its response is pending; None if the response was sent already.
-
-        Raises:
-            BadRequestError: The request is rejected.
-        """
-        ...
-
-    def client_disconnected(self, number: int) -> None:
-        """Handles that a request with a pending response has lost its client or was abandoned."""
-        ...
-
-    def connection_closed(self, reason: CloseReason) -> None:
-        """Handles the end of a connection."""
-        ...
-
-
-class ConnectionRegistry(Protocol):
-    """Tracks the connections of a server by state, and enforces limits on their number and memory."""
-
-    def add(self, connection: DownstreamConnection) -> None:
-        """Adds a new connection; may abort it, or evict another one to make room."""
-        ...
-
-    def set_state(self, connection: DownstreamConnection, state: ConnectionState) -> None:
-        """Sets the state of a connection."""
-        ...
-
-    def add_buffered_bytes(self, connection: DownstreamConnection, nbytes: int) -> None:
-        """Counts bytes that are buffered for a connection's request; may abandon incomplete requests."""
-        ...
-
-    def remove(self, connection: DownstreamConnection) -> None:
-        """Removes a connection that has ended."""
-        ...
-
-
-class ConnectionOwner(Protocol):
-    """What the connections of one server share; implemented by `DownstreamServer`."""
-
-    lifecycle: Lifecycle
-    invariants: InvariantChecker
-    handler: RequestHandler
-    response_budget: ResponseBudget
-    read_buffer: memoryview  # shared by all connections: each read is processed before the next one
-    head_read_buffer: memoryview  # the beginning of the same buffer
-
-    @property
-    def connection_table(self) -> ConnectionRegistry:
-        """The registry that each connection adds itself to."""
-        ...
-
-    @property
-    def classes(self) -> Mapping[str, ServiceClass]:
-        """The current service classes by name; the mapping is never modified, only replaced."""
-        ...
-
-    def validate_request(self, request: Request, classes: Mapping[str, ServiceClass]) -> IncomingRequest:
-        """Validates a request; `classes` are those that were current when its first byte was received.
-
-        Raises:
-            BadRequestError: The request is invalid.
-        """
-        ...
-
-
 class DownstreamConnection(asyncio.BufferedProtocol):
     """Protocol of one client connection, created by `DownstreamServer` for each accepted socket."""
 
--- a/tulipnotch/sidecar/downstream/connection_table.py
+++ b/tulipnotch/sidecar/downstream/connection_table.py
@@ -7,7 +7,8 @@
 from itertools import chain, islice
 
 from tulipnotch.sidecar.downstream.client_limits import ClientLimits
-from tulipnotch.sidecar.downstream.connection import ConnectionState, DownstreamConnection
+from tulipnotch.sidecar.downstream.connection import DownstreamConnection
+from tulipnotch.sidecar.downstream.connection_state import ConnectionState
 from tulipnotch.sidecar.requests.invariants import CloseReason
 
 
--- a/tulipnotch/sidecar/downstream/server.py
+++ b/tulipnotch/sidecar/downstream/server.py
@@ -9,9 +9,10 @@
 from tulipnotch.load_balancing.settings import ServiceClass, Settings
 from tulipnotch.sidecar.control.lifecycle import Lifecycle
 from tulipnotch.sidecar.downstream.client_limits import ClientLimits
-from tulipnotch.sidecar.downstream.connection import DownstreamConnection, RequestHandler
+from tulipnotch.sidecar.downstream.connection import DownstreamConnection
 from tulipnotch.sidecar.downstream.connection_table import ConnectionTable
 from tulipnotch.sidecar.downstream.incoming_request import IncomingRequest, validate_request
+from tulipnotch.sidecar.downstream.interfaces import RequestHandler
 from tulipnotch.sidecar.downstream.listener import Acceptor
 from tulipnotch.sidecar.downstream.timeouts import TimeoutSweep
 from tulipnotch.sidecar.http1.messages import Request
--- a/tulipnotch/sidecar/downstream/timeouts.py
+++ b/tulipnotch/sidecar/downstream/timeouts.py
@@ -6,7 +6,7 @@
 
 from tulipnotch.sidecar.control.lifecycle import Lifecycle
 from tulipnotch.sidecar.downstream.client_limits import ClientLimits
-from tulipnotch.sidecar.downstream.connection import ConnectionState
+from tulipnotch.sidecar.downstream.connection_state import ConnectionState
 from tulipnotch.sidecar.downstream.connection_table import ConnectionTable
 from tulipnotch.sidecar.requests.invariants import CloseReason
 
