Deduct the time in the accept queue from a streamed request too

Callers saw: a server was told up to 0.75 s more than the client had left, on a new connection while accept(2) was failing. Cause: the time that a connection has waited because accept(2) failed was deducted for complete requests only. Change: it is deducted there as well, unless the client would have timed out by then: such a client is still sending. Measured: both cases of the test pass.

--- a/tests/sidecar/downstream/test_acceptor.py
+++ b/tests/sidecar/downstream/test_acceptor.py
@@ -114,7 +114,8 @@
     run_async(work)
 
 
-def test_request_timeout_is_reduced_by_the_time_in_the_accept_queue() -> None:
+@pytest.mark.parametrize("body_bytes", [0, 150_000], ids=["buffered", "streamed"])
+def test_request_timeout_is_reduced_by_the_time_in_the_accept_queue(body_bytes: int) -> None:
     # The client's timeout runs from when it sent the request, so the server has only the rest of it.
     async def work() -> None:
         async with sidecar_harness(OK_RESPONSE) as harness:
@@ -129,7 +130,7 @@
             assert acceptor._failing_since is not None
             acceptor._failing_since -= _QUEUE_DELAY_S
             client = socket.create_connection(plain_listener.getsockname())
-            client.sendall(http_request("check", timeout="2.0"))
+            client.sendall(http_request("lodge", timeout="2.0", body=bytes(body_bytes)))
             await wait_until(lambda: len(harness.received_requests) == 1)
             assert float(harness.received_requests[0].headers["request-timeout"]) <= 2.0 - _QUEUE_DELAY_S
             client.close()
--- a/tulipnotch/sidecar/downstream/connection.py
+++ b/tulipnotch/sidecar/downstream/connection.py
@@ -18,7 +18,7 @@
 from tulipnotch.load_balancing.settings import ServiceClass
 from tulipnotch.sidecar.downstream.client_limits import ClientLimits
 from tulipnotch.sidecar.downstream.connection_state import ConnectionState
-from tulipnotch.sidecar.downstream.incoming_request import BadRequestError
+from tulipnotch.sidecar.downstream.incoming_request import BadRequestError, IncomingRequest
 from tulipnotch.sidecar.downstream.interfaces import ConnectionOwner
 from tulipnotch.sidecar.downstream.response_stream import ResponseProducer, ResponseStream
 from tulipnotch.sidecar.downstream.transfer_progress import TransferProgress
@@ -421,10 +421,7 @@
             return
         try:
             incoming = self._owner.validate_request(request, self._classes)
-            if is_complete:
-                # The client's timeout runs from when it sent the request.
-                incoming.remaining_us = max(incoming.remaining_us - int(self._accept_delay_s * 1e6), 1)
-            self._accept_delay_s = 0.0
+            self._deduct_accept_delay(incoming, is_complete=is_complete)
             self._request_number = self._owner.handler.request_received(self, incoming)
             if self._request_number is not None and not request.body.is_complete:
                 request.body.on_consumed = self._resume_reading
@@ -432,6 +429,18 @@
         except BadRequestError as error:
             self.reject(error.status, error.text)
 
+    def _deduct_accept_delay(self, incoming: IncomingRequest, *, is_complete: bool) -> None:
+        """Reduces the remaining time, since the client's timeout runs from when it sent the request.
+
+        The client may also have sent all of a body that is still being received.  If it had, it would have
+        disconnected by the end of its timeout, so a connection that has waited longer has a slow client.
+        """
+        delay_us, self._accept_delay_s = int(self._accept_delay_s * 1e6), 0.0
+        if is_complete:
+            incoming.remaining_us = max(incoming.remaining_us - delay_us, 1)
+        elif delay_us < incoming.remaining_us:
+            incoming.remaining_us -= delay_us
+
     def _process_streamed_body(self) -> None:
         """Updates state and flow control after a part of a streamed body was received."""
         request = self._request
