Soak: series of signals, floods, crowds, short deadlines, and the memory of processes

Clients use their open connections until the process has ended or gets SIGKILL at the earliest time that the platform allows. Processes start by the command of the deploy file.

--- a/tests/soak/clients.py
+++ b/tests/soak/clients.py
@@ -16,6 +16,16 @@
 _MAX_SEND_PAUSE_S = 0.3  # Longest pause of a client that sends a request in two parts.
 _LARGE_BODY_BYTES = 150_000  # Larger than any buffer between client and server.
 _RESPONSE_GRACE_S = 1.0  # Time for which a client waits beyond the timeout of its request.
+_CROWD_INTERVAL_S = 1.0  # Mean time between two requests of one client of a crowd.
+_FLOOD_HEAD = b"POST /api/flood HTTP/1.1\r\nHost: origin.svc\r\n"
+# What flooding clients send: a prefix, what follows it repeatedly, and how often.
+_REQUEST_FLOODS = [
+    (_FLOOD_HEAD + b"X-Value: ", b"x" * 65_536, 16),
+    (_FLOOD_HEAD, b"a:\r\n" * 900, 16),
+    (_FLOOD_HEAD + b"Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\nX-Trailer: ", b"x" * 65_536, 16),
+    (b"", b"GET /_health HTTP/1.1\r\n\r\n" * 1_000, 1),
+    (_FLOOD_HEAD + b"Content-Length: 60000\r\n\r\n", b"x" * 900, 60),
+]
 _request_numbers = itertools.count(1)
 
 
@@ -34,6 +44,11 @@
     reader: asyncio.StreamReader
     writer: asyncio.StreamWriter
     request_count: int = 0
+    is_shared: bool = True  # False if it belongs to one client of a crowd.
+
+    @property
+    def is_usable(self) -> bool:
+        return not self.reader.at_eof() and not self.writer.transport.is_closing()
 
 
 class LoadGenerator:
@@ -80,13 +95,16 @@
     async def _acquire_connection(self, *, is_new: bool) -> _Connection | None:
         while self._idle and not is_new:
             connection = self._idle.pop()
-            if not connection.reader.at_eof() and not connection.writer.transport.is_closing():
+            if connection.is_usable:
                 return connection
             connection.writer.close()
+        return await self._connect()
+
+    async def _connect(self, *, is_shared: bool = True) -> _Connection | None:
         if not self.may_connect:
             return None
         try:
-            return _Connection(*await asyncio.open_connection(*self.address))
+            return _Connection(*await asyncio.open_connection(*self.address), is_shared=is_shared)
         except OSError:
             return None
 
@@ -95,6 +113,11 @@
         connection = await self._acquire_connection(is_new=is_retry)
         if connection is None:
             return False
+        return await self._send_on(connection, request_id, request_class, is_retry=is_retry)
+
+    async def _send_on(
+        self, connection: _Connection, request_id: str, request_class: RequestClass, *, is_retry: bool
+    ) -> bool:
         timeout_s = request_class.deadline_s * self._rng.uniform(0.4, 1.0)
         attempt = ClientAttempt(
             request_id, request_class, self.sidecar_number, timeout_s, connection.request_count == 0
@@ -173,7 +196,7 @@
             attempt.is_own_response = body.startswith(attempt.request_id.encode() + b"\n")
         if b"connection: close" in response_header.lower():
             connection.writer.close()
-        else:
+        elif connection.is_shared:
             self._idle.append(connection)
 
     @staticmethod
@@ -196,6 +219,49 @@
             connection.writer.close()
         attempt.disconnected_at = now()
 
+    async def run_crowd(self, count: int, duration_s: float) -> None:
+        """Runs clients with a connection each, which they use until the sidecar closes it."""
+        ends_at = now() + duration_s
+        await asyncio.gather(*(self._run_crowd_client(ends_at) for _ in range(count)))
+
+    async def _run_crowd_client(self, ends_at: float) -> None:
+        connection: _Connection | None = None
+        while now() < ends_at:
+            await asyncio.sleep(self._rng.expovariate(1.0 / _CROWD_INTERVAL_S))
+            if connection is None or not connection.is_usable:
+                connection = await self._connect(is_shared=False)
+            if connection is None:
+                continue
+            request_id = f"{next(_request_numbers):016x}"
+            request_class = self._rng.choice(self.classes)
+            if await self._send_on(connection, request_id, request_class, is_retry=False):
+                await self._send_attempt(request_id, request_class, is_retry=True)
+        if connection is not None:
+            connection.writer.close()
+
+    async def send_floods(self, count: int, duration_s: float) -> None:
+        """Opens connections that send requests without end or with very many parts."""
+        await asyncio.gather(*(self._send_flood(duration_s) for _ in range(count)))
+
+    async def _send_flood(self, duration_s: float) -> None:
+        prefix, repeated, count = self._rng.choice(_REQUEST_FLOODS)
+        ends_at = now() + duration_s
+        try:
+            _, writer = await asyncio.open_connection(*self.address)
+        except OSError:
+            return
+        try:
+            writer.write(prefix)
+            for _ in range(count):
+                writer.write(repeated)
+                async with asyncio.timeout(max(ends_at - now(), 0.0)):
+                    await writer.drain()
+            await asyncio.sleep(max(ends_at - now(), 0.0))
+        except (OSError, TimeoutError, RuntimeError):
+            pass
+        finally:
+            writer.close()
+
     async def send_incomplete_requests(self, count: int, duration_s: float) -> None:
         """Opens connections that send half a request or nothing, and closes them after `duration_s`."""
         connections = []
--- a/tests/soak/fault_proxy.py
+++ b/tests/soak/fault_proxy.py
@@ -13,10 +13,14 @@
 
 from soak.records import Records, ServerAttempt, now
 from soak.servers import HOST, OrderServer, ServerConnection, allocate_port
+from tulipnotch.sidecar.http1.body import MAX_BUFFERED_BODY_BYTES
 
 _LINGER_ZERO = struct.pack("ii", 1, 0)  # With this SO_LINGER value, closing a socket sends RST.
 _MAX_DUPLICATE_DELAY_S = 0.003  # Longest delay of a duplicate response.
 _LISTEN_RETRY_S = 0.05
+_FLOOD_RETRY_S = 0.01
+_MAX_FLOOD_BYTES = 1 << 20  # Of each flood; the connection is reset after it.
+_FLOOD_HEAD_UNIT = (b"X-Filler: " + b"x" * 1_000 + b"\r\n") * 64
 
 
 @unique
@@ -32,6 +36,8 @@
     RESET_IN_RESPONSE = "reset_in_response_probability"
     STALL_IN_RESPONSE = "stall_in_response_probability"
     DUPLICATE_RESPONSE = "duplicate_response_probability"
+    FLOOD_HEAD = "flood_head_probability"
+    FLOOD_EARLY = "flood_early_probability"
 
 
 class FaultProxy:
@@ -100,6 +106,7 @@
         self._unsent_data = b""  # Received before the upstream connection was established.
         self._attempt: ServerAttempt | None = None
         self._fault: RequestFault | None = None
+        self._is_large = False  # True if the body is longer than what a sidecar buffers of it.
         self._is_stalled = False  # True while the rest of a response is discarded.
         self._is_rejected = False  # True if the data just received ended a request that was rejected here.
 
@@ -172,7 +179,7 @@
         server = self._proxy.server
         self._attempt = ServerAttempt("", server.name, server.zone, server.cell, now())
         self._fault = self._proxy.sample_request_fault()
-        self._is_stalled = False
+        self._is_stalled = self._is_large = False
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Records the headers that the rules are checked against."""
@@ -180,6 +187,8 @@
         if name.lower() == b"request-id":
             self._attempt.request_id = value.decode()
             self._proxy.records.server_attempts.append(self._attempt)
+        elif name.lower() == b"content-length":
+            self._is_large = int(value) > MAX_BUFFERED_BODY_BYTES
         elif name.lower() == b"request-timeout":
             self._attempt.announced_timeout_s = float(value)
 
@@ -187,6 +196,12 @@
         """Resets the connection if that is the fault of the request."""
         if self._fault is RequestFault.RESET_AFTER_HEADERS:
             self.reset()
+        elif self._fault is RequestFault.FLOOD_EARLY and self._transport is not None and self._is_large:
+            self._transport.pause_reading()
+            head = b"HTTP/1.1 200 OK\r\nContent-Length: 30000000\r\n\r\n"
+            assert self._attempt is not None
+            self._transport.write(head + self._attempt.request_id.encode() + b"\n")
+            self._flood(b"x" * 65_536, _MAX_FLOOD_BYTES)
 
     def on_message_complete(self) -> None:
         """Rejects the complete request, or records that the server executes it."""
@@ -203,6 +218,26 @@
         attempt.is_executed = True
         if self._fault is RequestFault.RESET_AFTER_REQUEST:
             self.reset()
+        elif self._fault is RequestFault.FLOOD_HEAD:
+            self._is_stalled = True
+            self._transport.write(b"HTTP/1.1 200 OK\r\n")
+            self._flood(_FLOOD_HEAD_UNIT, _MAX_FLOOD_BYTES)
+
+    def _flood(self, unit: bytes, remaining_bytes: int) -> None:
+        """Sends `unit` again and again, as fast as the sidecar reads, and then resets the connection."""
+        transport = self._transport
+        if transport is None or transport.is_closing():
+            return
+        if remaining_bytes <= 0:
+            self.reset()
+            return
+        is_full = transport.get_write_buffer_size() > len(unit)
+        if not is_full:
+            transport.write(unit)
+            remaining_bytes -= len(unit)
+        asyncio.get_running_loop().call_later(
+            _FLOOD_RETRY_S if is_full else 0.0, self._flood, unit, remaining_bytes
+        )
 
     # Connection to the server
 
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -18,6 +18,7 @@
 
 if TYPE_CHECKING:
     from soak.fleet import Fleet
+    from soak.sidecars import ManagedSidecar
 
 Fault = Callable[["Fleet", random.Random], Awaitable[None]]
 
@@ -218,6 +219,41 @@
     )
 
 
+async def signal_series(fleet: Fleet, rng: random.Random) -> None:
+    """Sends many signals within a short time, to serving processes and to stopping ones."""
+
+    async def send_signals(sidecar: ManagedSidecar) -> None:
+        for _ in range(rng.randint(3, 12)):
+            fleet.reload_sidecar(sidecar, rng)
+            await asyncio.sleep(rng.uniform(0.0, 0.03))
+        if rng.random() < 0.5:
+            await fleet.restart_sidecar(sidecar, repeated_signals=rng.randint(1, 8))
+
+    await asyncio.gather(*(send_signals(sidecar) for sidecar in fleet.choose_sidecars(rng, 0.4)))
+
+
+async def flood_responses(fleet: Fleet, rng: random.Random) -> None:
+    """Makes servers send heads without end, and responses before large requests are complete."""
+    probability = rng.choice([0.1, 0.4])
+    await _inject_server_faults(
+        fleet,
+        rng,
+        0.4,
+        lambda: ServerFaults(flood_head_probability=probability, flood_early_probability=probability),
+    )
+
+
+async def flood_requests(fleet: Fleet, rng: random.Random) -> None:
+    """Opens client connections that send requests without end."""
+    await asyncio.gather(
+        *(
+            generator.send_floods(rng.randint(1, 6), _sample_duration_s(rng))
+            for generator in fleet.load_generators
+            if rng.random() < 0.4
+        )
+    )
+
+
 FAULTS: dict[str, Fault] = {
     fault.__name__: fault
     for fault in (
@@ -237,5 +273,8 @@
         disrupt_discovery,
         disconnect_early,
         send_incomplete,
+        signal_series,
+        flood_responses,
+        flood_requests,
     )
 }
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -14,7 +14,7 @@
 from soak.clients import LoadGenerator
 from soak.discovery import DiscoveryServer, EndpointCatalog
 from soak.fault_proxy import FaultProxy
-from soak.records import Idempotency, Records, RequestClass, SidecarEvent, now
+from soak.records import Idempotency, MemoryPeak, Records, RequestClass, SidecarEvent, now
 from soak.servers import HOST, OrderServer, allocate_port
 from soak.shim import compile_shim
 from soak.sidecars import ManagedSidecar
@@ -27,6 +27,14 @@
 ]
 EXTRA_CLASS = RequestClass("extra", Idempotency.IDEMPOTENT, 0.8, 0.3)  # Some reloads add this class.
 DRAIN_GRACE_S = 0.4
+_SHORT_DEADLINE_FACTOR = 0.3  # Of deadlines and latency objectives in runs with short deadlines.
+_CROWD_PROBABILITY = 0.3
+_CROWD_SIDECARS = 2
+_CROWD_CLIENTS = 100  # At each of these sidecars, fewer than the connections that a sidecar accepts.
+_MAX_CONNECT_AFTER_SIGTERM_S = 0.4
+_MEMORY_LIMIT_MB = 64
+_SHARED_MEMORY_LIMIT_MB = 96  # Of a sidecar of which two processes may run.
+_MEMORY_SAMPLE_S = 0.1
 _Item = TypeVar("_Item")
 
 
@@ -51,6 +59,12 @@
         self.records = Records()
         self.allows_hedging = self.rng.random() < 0.5
         self.is_discovery_pushed = self.rng.random() < 0.3
+        factor = _SHORT_DEADLINE_FACTOR if self.rng.random() < 0.4 else 1.0
+        self.classes = [each.scaled(factor) for each in CLASSES]
+        self._extra_class = EXTRA_CLASS.scaled(factor)
+        self._has_crowd = self.rng.random() < _CROWD_PROBABILITY
+        self.max_loop_delay_s = 0.0  # Longest delay of this process's own event loop, for diagnosis.
+        self._tasks: set[asyncio.Task[None]] = set()
         shim_library = compile_shim(folder)
         self.sidecars = [
             ManagedSidecar(
@@ -90,20 +104,36 @@
                 control=_format_address(sidecar.control_address),
                 discovery=discovery_server.address(0),
                 seed=f"{self.rng.getrandbits(32):x}",
-                limits={"cores": 1.0, "memory_mb": 96, "sockets": 256},
+                limits={"cores": 1.0, "memory_mb": _memory_limit_mb(sidecar), "sockets": 512},
                 known=self.catalog.complete_list(),
                 settings=self.make_settings(sidecar),
             )
             load_generator = LoadGenerator(
-                sidecar.number, sidecar.address, list(CLASSES), self.records, self.rng
+                sidecar.number, sidecar.address, self.classes, self.records, self.rng
             )
             self.load_generators.append(load_generator)
         await asyncio.gather(*(sidecar.start() for sidecar in self.sidecars))
+        self._tasks.add(asyncio.ensure_future(self._sample_memory()))
+
+    async def _sample_memory(self) -> None:
+        while True:
+            for sidecar in self.sidecars:
+                sidecar.sample_memory()
+            due_at = now() + _MEMORY_SAMPLE_S
+            await asyncio.sleep(_MEMORY_SAMPLE_S)
+            self.max_loop_delay_s = max(self.max_loop_delay_s, now() - due_at)
+
+    def start_crowd(self, duration_s: float) -> list[asyncio.Task[None]]:
+        """Starts the crowd of clients, if this run has one; returns its tasks."""
+        generators = self.load_generators[:_CROWD_SIDECARS] if self._has_crowd else []
+        return [
+            asyncio.ensure_future(generator.run_crowd(_CROWD_CLIENTS, duration_s)) for generator in generators
+        ]
 
     def make_settings(self, sidecar: ManagedSidecar, **limit_overrides: Any) -> dict[str, Any]:
         """Returns the settings of a sidecar; `limit_overrides` replace keys of `bounds`."""
         return sidecars.make_settings(
-            CLASSES,
+            self.classes,
             sidecar.number,
             len(self.sidecars),
             discovery_mode="pushed" if self.is_discovery_pushed else "on_request",
@@ -127,16 +157,20 @@
 
     # Operations that faults perform
 
-    async def restart_sidecar(self, sidecar: ManagedSidecar) -> None:
-        """Stops the process by SIGTERM and starts another, unless it is being replaced already."""
+    async def restart_sidecar(self, sidecar: ManagedSidecar, repeated_signals: int = 0) -> None:
+        """Stops the process by SIGTERM and starts another, unless it is being replaced already.
+
+        This many further signals follow SIGTERM, at random times while the process stops.
+        """
         if sidecar.number in self._being_replaced:
             return
         self._being_replaced.add(sidecar.number)
         load_generator = self.load_generators[sidecar.number]
         stop_task = asyncio.ensure_future(sidecar.stop())
-        await asyncio.sleep(0.2)
+        signals_task = asyncio.ensure_future(sidecar.repeat_signals(repeated_signals, self.rng))
+        await asyncio.sleep(self.rng.uniform(0.2, _MAX_CONNECT_AFTER_SIGTERM_S))
         load_generator.may_connect = False
-        await stop_task
+        await asyncio.gather(stop_task, signals_task)
         await self._start_replacement(sidecar)
 
     async def kill_sidecar(self, sidecar: ManagedSidecar) -> None:
@@ -189,7 +223,7 @@
             return
         settings = self.make_settings(sidecar, sendCap=rng.choice([1, 2, 3]))
         if rng.random() < 0.5:
-            settings["lanes"].append(EXTRA_CLASS.settings_entry)
+            settings["lanes"].append(self._extra_class.settings_entry)
         sidecar.update_configuration(
             settings=settings,
             discovery=self.discovery_servers[sidecar.number].address(rng.randrange(2)),
@@ -223,6 +257,12 @@
 
     async def close(self) -> None:
         """Ends all processes and servers."""
+        for task in self._tasks:
+            task.cancel()
+        self.records.memory_peaks += [
+            MemoryPeak(sidecar.number, sidecar.peak_resident_mb, _memory_limit_mb(sidecar))
+            for sidecar in self.sidecars
+        ]
         await asyncio.gather(*(sidecar.close() for sidecar in self.sidecars))
         for proxy in self.proxies:
             proxy.stop()
@@ -230,6 +270,10 @@
             discovery_server.stop()
 
 
+def _memory_limit_mb(sidecar: ManagedSidecar) -> int:
+    return _SHARED_MEMORY_LIMIT_MB if sidecar.inherits_listener else _MEMORY_LIMIT_MB
+
+
 def _choose_some(items: Sequence[_Item], rng: random.Random, probability: float) -> list[_Item]:
     chosen = [item for item in items if rng.random() < probability]
     return chosen or [rng.choice(items)]
--- a/tests/soak/history.py
+++ b/tests/soak/history.py
@@ -9,8 +9,9 @@
 
 # Tolerance for scheduling: clients and servers share cores with the sidecar processes and see events late.
 SCHEDULING_DELAY_S = 0.25
-_REQUEST_AFTER_SIGTERM_S = 0.7  # A request sent later than this after SIGTERM needs no response.
-_CONNECTION_AFTER_SIGTERM_S = 0.2  # The limit after SIGTERM for the first request on a connection.
+# The first request on a connection needs no response if it is sent later than this after SIGTERM.  Any other
+# request does, as long as its connection is open.
+_CONNECTION_AFTER_SIGTERM_S = 0.4
 # An endpoint list update that is written near one of two events counts as received only after a delay.
 _RELOAD_DELAY_S = 4.0  # Delay from SIGHUP, upon which the address of discovery may change.
 _DISCOVERY_RESET_DELAY_S = 6.0  # Delay from a reset of the connection that the update was written to.
@@ -39,7 +40,7 @@
         return self._is_process_unavailable(attempt) or self._is_queued_on_listener(attempt)
 
     def _is_process_unavailable(self, attempt: ClientAttempt) -> bool:
-        """Returns whether a process was killed during the attempt or had received SIGTERM too long before it.
+        """Returns whether a process was killed during the attempt, or was stopping as the client connected.
 
         Also returns True if no process had become ready before the attempt.
         """
@@ -125,17 +126,14 @@
 
 def _is_killed_during(process: ProcessRecord, attempt: ClientAttempt) -> bool:
     ended_at = max(attempt.ended_at, attempt.disconnected_at)
-    if not process.killed_at:
-        return False
+    if not process.killed_at or process.sigterm_at:
+        return False  # After SIGTERM, the process has until SIGKILL for the response.
     return attempt.sent_at - SCHEDULING_DELAY_S <= process.killed_at <= ended_at + SCHEDULING_DELAY_S
 
 
 def _is_stopping_before(process: ProcessRecord, attempt: ClientAttempt) -> bool:
-    if not process.sigterm_at:
+    if not process.sigterm_at or not attempt.is_first_on_connection:
         return False
-    accepted_for_s = (
-        _CONNECTION_AFTER_SIGTERM_S if attempt.is_first_on_connection else _REQUEST_AFTER_SIGTERM_S
-    )
     attempt_ended_at = max(attempt.ended_at, attempt.disconnected_at)
     unavailable_until = (process.ended_at or attempt_ended_at) + SCHEDULING_DELAY_S
-    return process.sigterm_at + accepted_for_s < attempt.sent_at <= unavailable_until
+    return process.sigterm_at + _CONNECTION_AFTER_SIGTERM_S < attempt.sent_at <= unavailable_until
--- a/tests/soak/records.py
+++ b/tests/soak/records.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import time
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from enum import Enum, unique
 
 
@@ -32,6 +32,15 @@
     deduplication_scope: str = "cell"
     deduplication_window_s: float = 0.0
 
+    def scaled(self, factor: float) -> RequestClass:
+        """Returns the class with its times multiplied by `factor`."""
+        return replace(
+            self,
+            deadline_s=self.deadline_s * factor,
+            latency_objective_s=self.latency_objective_s * factor,
+            deduplication_window_s=self.deduplication_window_s * factor,
+        )
+
     @property
     def settings_entry(self) -> dict[str, object]:
         """The entry of this class in `lanes` of the settings."""
@@ -111,6 +120,15 @@
     ended_at: float
 
 
+@dataclass(frozen=True, slots=True)
+class MemoryPeak:
+    """The highest resident memory of all processes of one sidecar together."""
+
+    sidecar_number: int
+    resident_mb: float
+    limit_mb: int
+
+
 @dataclass(frozen=True, slots=True)
 class SidecarEvent:
     """An event that affected one sidecar."""
@@ -128,5 +146,6 @@
     processes: list[ProcessRecord] = field(default_factory=list)
     withdrawals: list[Withdrawal] = field(default_factory=list)
     pauses: list[Pause] = field(default_factory=list)
+    memory_peaks: list[MemoryPeak] = field(default_factory=list)
     reloads: list[SidecarEvent] = field(default_factory=list)  # The address of discovery may have changed.
     discovery_resets: list[SidecarEvent] = field(default_factory=list)  # Resets of connections to discovery.
--- a/tests/soak/recovery.py
+++ b/tests/soak/recovery.py
@@ -4,7 +4,7 @@
 
 import asyncio
 
-from soak.fleet import CLASSES, Fleet
+from soak.fleet import Fleet
 from soak.records import SidecarEvent, now
 from soak.rule_checker import Rule, Violation
 from soak.sidecars import ManagedSidecar
@@ -51,7 +51,7 @@
                 f"after {request_count} requests: {telemetry}"
             )
         attempt_count_before = len(fleet.records.client_attempts)
-        await load_generator.start_request(CLASSES[0])
+        await load_generator.start_request(fleet.classes[0])
         request_count += 1
         new_attempts = fleet.records.client_attempts[attempt_count_before:]
         sidecar_attempts = [attempt for attempt in new_attempts if attempt.sidecar_number == sidecar.number]
--- a/tests/soak/rule_checker.py
+++ b/tests/soak/rule_checker.py
@@ -30,6 +30,7 @@
     DEADLINE = "deadline"  # An attempt announces no timeout beyond the remaining time.
     DRAIN = "drain"  # A withdrawn server gets no attempts after the grace period.
     PROCESS = "process"  # Processes start in time, exit with 0, and log no internal error.
+    MEMORY = "memory"  # All processes of a sidecar together stay within its memory limit.
     RECOVERY = "aftermath"  # Each sidecar serves and becomes idle after all faults.
 
 
@@ -65,6 +66,7 @@
             Rule.DEADLINE: self._deadline_violations(),
             Rule.DRAIN: self._drain_violations(),
             Rule.PROCESS: self._process_violations(),
+            Rule.MEMORY: self._memory_violations(),
         }
         return [Violation(rule, detail) for rule, details in details_by_rule.items() for detail in details]
 
@@ -182,7 +184,8 @@
                 if announced_s > remaining_s + slack_s:
                     yield (
                         f"announced timeout {announced_s:.3f} s, remaining time {remaining_s:.3f} s: "
-                        f"{last_attempt} {server_attempt}"
+                        f"{last_attempt} {server_attempt} "
+                        f"{self._history.describe_processes(last_attempt)}"
                     )
 
     def _drain_violations(self) -> Iterator[str]:
@@ -203,6 +206,11 @@
                         f"{server_attempt}"
                     )
 
+    def _memory_violations(self) -> Iterator[str]:
+        for peak in self._history.records.memory_peaks:
+            if peak.resident_mb > peak.limit_mb:
+                yield f"n{peak.sidecar_number}: {peak.resident_mb:.1f} MB of {peak.limit_mb} MB"
+
     def _process_violations(self) -> Iterator[str]:
         for process in self._history.records.processes:
             name = f"n{process.sidecar_number} pid {process.pid}"
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -37,6 +37,8 @@
     responses: Counter[int]  # Number of client attempts by status; 0 means no complete response.
     failed_system_calls: int  # Number of faults that the shim injected into system calls.
     process_count: int
+    max_loop_delay_s: float  # Of the process that runs the clients and servers.
+    peak_memory_mb: float  # Of the processes of one sidecar together.
     fault_names: Sequence[str]  # Names of the faults, in the order of their starts.
     duration_s: float
 
@@ -50,7 +52,8 @@
         return (
             f"seed {self.options.seed}: {len(self.violations)} violations, "
             f"{self.client_attempts} requests ({counts}), {self.process_count} processes, "
-            f"{self.failed_system_calls} failed system calls, {self.duration_s:.1f} s; "
+            f"{self.failed_system_calls} failed system calls, {self.peak_memory_mb:.0f} MB at most, "
+            f"{self.duration_s:.1f} s, loop delayed by {self.max_loop_delay_s:.2f} s at most; "
             f"{', '.join(self.fault_names)}"
         )
 
@@ -106,6 +109,8 @@
         responses=Counter(attempt.status for attempt in fleet.records.client_attempts),
         failed_system_calls=sum(sidecar.shim.read_word(ControlWord.INJECTED) for sidecar in fleet.sidecars),
         process_count=len(fleet.records.processes),
+        max_loop_delay_s=fleet.max_loop_delay_s,
+        peak_memory_mb=max(peak.resident_mb for peak in fleet.records.memory_peaks),
         fault_names=schedule.fault_names,
         duration_s=now() - started_at,
     )
@@ -115,8 +120,10 @@
     load_tasks = [
         asyncio.ensure_future(generator.run(options.requests_per_s)) for generator in fleet.load_generators
     ]
+    crowd_tasks = fleet.start_crowd(_FAULT_FREE_START_S + options.fault_phase_s)
     await asyncio.sleep(_FAULT_FREE_START_S)
     await schedule.run()
+    await asyncio.gather(*crowd_tasks)
     for load_task in load_tasks:
         load_task.cancel()
     await asyncio.gather(*(generator.wait_for_requests() for generator in fleet.load_generators))
--- a/tests/soak/servers.py
+++ b/tests/soak/servers.py
@@ -40,6 +40,8 @@
     reset_in_response_probability: float = 0.0  # Probability of sending RST after a part of the response.
     stall_in_response_probability: float = 0.0  # Probability of stopping after a part of the response.
     duplicate_response_probability: float = 0.0  # Probability of sending the response twice.
+    flood_head_probability: float = 0.0  # Probability of a response whose head has no end.
+    flood_early_probability: float = 0.0  # Probability of a long response before a large request is complete.
     read_delay_s: float = 0.0  # Pause in reading after each received part of an incomplete request.
 
 
--- a/tests/soak/sidecars.py
+++ b/tests/soak/sidecars.py
@@ -5,9 +5,12 @@
 import asyncio
 import json
 import os
+import random
+import re
 import signal
 import socket
 import sys
+import tomllib
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
@@ -17,6 +20,7 @@
 from soak.shim import FaultShim
 
 _ROOT = Path(__file__).parent.parent.parent
+_RUN_COMMAND: str = tomllib.loads((_ROOT / "deploy" / "balancer.toml").read_text())["run"]
 _MAX_DRAIN_S = 3.0  # Upper bound of the time that a process has for draining after SIGTERM.
 _READINESS_POLL_S = 0.02
 _KILL_DELAY_S = 0.7  # SIGKILL follows this long after the end of the drain time.
@@ -59,6 +63,8 @@
         self.folder.mkdir()
         self.shim = FaultShim(shim_library, self.folder / "words")
         self.current_process: ProcessHandle | None = None
+        self.peak_resident_mb = 0.0  # Of all processes together.
+        self._handles: list[ProcessHandle] = []
         self.config: dict[str, Any] = {}
         self.log_reading_enabled = asyncio.Event()
         self.log_reading_enabled.set()
@@ -107,9 +113,9 @@
             inherited_fds = (self._listener.fileno(),)
             environ["BALANCER_INHERITED_FD"] = str(inherited_fds[0])
         process = await asyncio.create_subprocess_exec(
-            sys.executable,
-            "-m",
-            "tulipnotch.sidecar",
+            "/bin/sh",
+            "-c",
+            _RUN_COMMAND.replace(".venv/bin/python", sys.executable),
             cwd=_ROOT,
             env=environ,
             pass_fds=inherited_fds,
@@ -118,6 +124,8 @@
         record = ProcessRecord(self.number, process.pid, now())
         self._records.processes.append(record)
         self.current_process = ProcessHandle(process, record)
+        self._handles = [handle for handle in self._handles if not handle.has_ended]
+        self._handles.append(self.current_process)
         self._log_readers.add(asyncio.get_running_loop().create_task(self._read_log(process, record)))
         async with asyncio.timeout(READY_TIMEOUT_S):
             while process.returncode is None:
@@ -182,6 +190,32 @@
         if not handle.has_ended:
             handle.process.send_signal(signal.SIGHUP)
 
+    async def repeat_signals(self, count: int, rng: random.Random) -> None:
+        """Sends further signals to the current process, which has received SIGTERM."""
+        handle = self._require_process()
+        for _ in range(count):
+            await asyncio.sleep(rng.uniform(0.0, 0.3))
+            if not handle.has_ended:
+                handle.process.send_signal(rng.choice([signal.SIGTERM, signal.SIGHUP, signal.SIGINT]))
+
+    def sample_memory(self) -> None:
+        """Updates the highest resident memory, of each process and of all that run now together."""
+        current_mb = 0.0
+        for handle in self._handles:
+            if handle.has_ended:
+                continue
+            try:
+                status = Path(f"/proc/{handle.process.pid}/status").read_text()
+            except OSError:
+                continue
+            resident_mb, peak_mb = (
+                sum(int(kb) for kb in re.findall(rf"^{name}:\s+(\d+) kB$", status, re.MULTILINE)) / 1_024
+                for name in ("VmRSS", "VmHWM")
+            )
+            current_mb += resident_mb
+            self.peak_resident_mb = max(self.peak_resident_mb, peak_mb)
+        self.peak_resident_mb = max(self.peak_resident_mb, current_mb)
+
     async def pause(self, duration_s: float) -> None:
         """Suspends the process by SIGSTOP, and resumes it by SIGCONT after `duration_s`."""
         handle = self._require_process()
--- a/tests/soak/test_rule_checker.py
+++ b/tests/soak/test_rule_checker.py
@@ -7,7 +7,7 @@
 import pytest
 
 from soak.fleet import CLASSES
-from soak.records import ClientAttempt, ProcessRecord, Records, ServerAttempt, Withdrawal
+from soak.records import ClientAttempt, MemoryPeak, ProcessRecord, Records, ServerAttempt, Withdrawal
 from soak.rule_checker import Rule, RuleChecker
 
 _LOOK, _AMEND, _STORE, _PAY = CLASSES
@@ -190,6 +190,21 @@
         (Records(processes=[_process(exit_code=1)]), Rule.PROCESS),
         (Records(processes=[_process(exit_code=-15, sigterm_at=5.0)]), Rule.PROCESS),
         (Records(processes=[_process(exit_code=-9, sigterm_at=5.0, killed_at=9.0)]), Rule.PROCESS),
+        (
+            Records(
+                client_attempts=[_client_attempt(status=0, has_partial_response=False)],
+                processes=[_process(sigterm_at=_SENT_AT - 0.8)],
+            ),
+            Rule.RESPONSE,
+        ),  # A request on an open connection needs a response, however late after SIGTERM it comes.
+        (
+            Records(
+                client_attempts=[_client_attempt(status=0, has_partial_response=False)],
+                processes=[_process(sigterm_at=_SENT_AT - 2.0, killed_at=_SENT_AT + 0.05)],
+            ),
+            Rule.RESPONSE,
+        ),
+        (Records(memory_peaks=[MemoryPeak(0, 64.1, 64)]), Rule.MEMORY),
         (Records(processes=[_process(ready_at=0.0)]), Rule.PROCESS),
         (Records(processes=[_process(ready_at=12.0)]), Rule.PROCESS),
         (Records(processes=[_process(log=["invariant broken: sent_in_time: r"])]), Rule.PROCESS),
