Block signals once a shutdown is complete

Callers saw: exit code -15 (or -1, -2) in place of 0 when a signal was repeated at the end of a shutdown. Cause: the interpreter restores the default handlers some milliseconds before the process ends. Change: SIGTERM, SIGINT and SIGHUP are blocked once everything is closed.

--- a/tests/sidecar/test_start_faults.py
+++ b/tests/sidecar/test_start_faults.py
@@ -1,4 +1,4 @@
-"""Starts under faults: signals, failing system calls and addresses in use before a process is ready."""
+"""Starts and ends under faults: signals, failing system calls and addresses in use."""
 
 from __future__ import annotations
 
@@ -15,6 +15,8 @@
 from loopback import HOST, OK_RESPONSE, run_async, within_timeout
 from running import ROOT, running_sidecar, server_with_config, start_process
 
+_SIGNAL_INTERVAL_S = 0.0002
+
 
 def _preamble(folder: Path, source: str) -> dict[str, str]:
     """Returns an environment in which a process runs this source before it imports the program."""
@@ -93,6 +95,27 @@
     run_async(work)
 
 
+@pytest.mark.parametrize("number", [signal.SIGTERM, signal.SIGINT, signal.SIGHUP])
+def test_exit_code_is_0_when_signals_arrive_until_the_process_has_ended(
+    number: signal.Signals, tmp_path: Path
+) -> None:
+    # The interpreter removes its handlers some milliseconds before the process ends.
+    async def work() -> None:
+        async with server_with_config(OK_RESPONSE, tmp_path) as (config, _):
+            process = await start_process(config)
+            try:
+                assert await _wait_until_serving(process)
+                process.send_signal(signal.SIGTERM)
+                while process.returncode is None:
+                    process.send_signal(number)
+                    await asyncio.sleep(_SIGNAL_INTERVAL_S)
+                assert process.returncode == 0
+            finally:
+                await _kill(process)
+
+    run_async(work)
+
+
 def test_start_succeeds_while_the_previous_version_holds_the_peer_address(
     tmp_path: Path,
 ) -> None:
--- a/tulipnotch/sidecar/program.py
+++ b/tulipnotch/sidecar/program.py
@@ -26,6 +26,7 @@
 from tulipnotch.sidecar.operator_file import OPERATOR_FILE_VARIABLE, OperatorOptions, load_operator_options
 from tulipnotch.sidecar.sidecar import Sidecar
 
+_STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 _INHERITED_FD_VARIABLE = "BALANCER_INHERITED_FD"  # environment variable; descriptor of a listening socket
 
 
@@ -71,7 +72,7 @@
     loop = asyncio.get_running_loop()
     loop.set_exception_handler(lambda _, context: _log_uncaught_exception(log, context))
     stop_requested = asyncio.Event()
-    for signal_number in (signal.SIGTERM, signal.SIGINT):
+    for signal_number in _STOP_SIGNALS:
         loop.add_signal_handler(signal_number, stop_requested.set)
     sidecar = Sidecar(config, options)
     loop.add_signal_handler(signal.SIGHUP, reload_configuration, sidecar, os.environ, log)
@@ -87,6 +88,8 @@
     await sidecar.shut_down()
     control.close()
     log("drained")
+    # The event loop removes its handlers as it ends, and a further signal would then end the process.
+    signal.pthread_sigmask(signal.SIG_BLOCK, {*_STOP_SIGNALS, signal.SIGHUP})
 
 
 async def _open_control_endpoint(control: ControlEndpoint, address: Address, log: Log) -> None:
