Reject a streamed request whose client timed out while accept(2) was failing

Callers saw: an attempt began 0.42 s after its client had closed the connection. Cause: the connection had waited for longer than the client's timeout. The client's end was behind the rest of a large body, in its own machine's buffers, so that no check could see it; the attempt began with the first part of the body. Change: such a request is rejected with 503, nothing was sent. A client that is still sending after its own timeout can retry.

--- a/tests/sidecar/downstream/test_acceptor.py
+++ b/tests/sidecar/downstream/test_acceptor.py
@@ -6,9 +6,20 @@
 import errno
 import os
 import socket
+from collections.abc import Iterator
+from contextlib import contextmanager
 
 import pytest
-from loopback import HOST, OK_RESPONSE, http_request, run_async, sidecar_harness, wait_until, within_timeout
+from loopback import (
+    HOST,
+    OK_RESPONSE,
+    SidecarHarness,
+    http_request,
+    run_async,
+    sidecar_harness,
+    wait_until,
+    within_timeout,
+)
 
 from tulipnotch.sidecar.downstream.listener import Acceptor, bind_and_listen
 
@@ -114,26 +125,50 @@
     run_async(work)
 
 
+def test_streamed_request_is_rejected_when_its_client_has_timed_out_in_the_accept_queue() -> None:
+    # The end of the client's connection may still be behind the rest of the body, where nothing shows it.
+    async def work() -> None:
+        async with sidecar_harness(OK_RESPONSE) as harness:
+            timeout = f"{_QUEUE_DELAY_S / 2:.3f}"
+            with _client_in_failing_queue(harness) as client:
+                request = http_request("lodge", timeout=timeout, body=bytes(150_000))
+                client.settimeout(0.0)
+                await asyncio.get_running_loop().sock_sendall(client, request[:100_000])
+                response = await within_timeout(asyncio.get_running_loop().sock_recv(client, 1_000))
+            assert response.startswith(b"HTTP/1.1 503 ")
+            assert harness.received_requests == []
+            assert not any(server.connection_count for server in harness.servers)
+
+    run_async(work)
+
+
+@contextmanager
+def _client_in_failing_queue(harness: SidecarHarness) -> Iterator[socket.socket]:
+    """Yields a client whose connection seems to have been in the accept queue for `_QUEUE_DELAY_S`."""
+    acceptor = harness.sidecar.downstream._acceptor
+    assert acceptor is not None
+    plain_listener = acceptor._listener
+    failing_listener = _FailingListener(fileno=os.dup(plain_listener.fileno()))
+    failing_listener.settimeout(0.0)
+    failing_listener.remaining_errors = [errno.ENFILE]
+    acceptor._listener = failing_listener
+    acceptor._accept_batch()
+    assert acceptor._failing_since is not None
+    acceptor._failing_since -= _QUEUE_DELAY_S
+    with socket.create_connection(plain_listener.getsockname()) as client:
+        yield client
+    plain_listener.close()
+
+
 @pytest.mark.parametrize("body_bytes", [0, 150_000], ids=["buffered", "streamed"])
 def test_request_timeout_is_reduced_by_the_time_in_the_accept_queue(body_bytes: int) -> None:
     # The client's timeout runs from when it sent the request, so the server has only the rest of it.
     async def work() -> None:
         async with sidecar_harness(OK_RESPONSE) as harness:
-            acceptor = harness.sidecar.downstream._acceptor
-            assert acceptor is not None
-            plain_listener = acceptor._listener
-            failing_listener = _FailingListener(fileno=os.dup(plain_listener.fileno()))
-            failing_listener.settimeout(0.0)
-            failing_listener.remaining_errors = [errno.ENFILE]
-            acceptor._listener = failing_listener
-            acceptor._accept_batch()
-            assert acceptor._failing_since is not None
-            acceptor._failing_since -= _QUEUE_DELAY_S
-            client = socket.create_connection(plain_listener.getsockname())
-            client.sendall(http_request("lodge", timeout="2.0", body=bytes(body_bytes)))
-            await wait_until(lambda: len(harness.received_requests) == 1)
-            assert float(harness.received_requests[0].headers["request-timeout"]) <= 2.0 - _QUEUE_DELAY_S
-            client.close()
-            plain_listener.close()
+            with _client_in_failing_queue(harness) as client:
+                client.sendall(http_request("lodge", timeout="2.0", body=bytes(body_bytes)))
+                await wait_until(lambda: len(harness.received_requests) == 1)
+            announced_s = float(harness.received_requests[0].headers["request-timeout"])
+            assert announced_s <= 2.0 - _QUEUE_DELAY_S
 
     run_async(work)
--- a/tulipnotch/sidecar/downstream/connection.py
+++ b/tulipnotch/sidecar/downstream/connection.py
@@ -432,14 +432,16 @@
     def _deduct_accept_delay(self, incoming: IncomingRequest, *, is_complete: bool) -> None:
         """Reduces the remaining time, since the client's timeout runs from when it sent the request.
 
-        The client may also have sent all of a body that is still being received.  If it had, it would have
-        disconnected by the end of its timeout, so a connection that has waited longer has a slow client.
+        The client may also have sent all of a body that is still being received.  Once its timeout has
+        passed, it may have disconnected too: the end of the connection is then behind the rest of the body.
+
+        Raises:
+            BadRequestError: The client has timed out, and its body is incomplete.
         """
         delay_us, self._accept_delay_s = int(self._accept_delay_s * 1e6), 0.0
-        if is_complete:
-            incoming.remaining_us = max(incoming.remaining_us - delay_us, 1)
-        elif delay_us < incoming.remaining_us:
-            incoming.remaining_us -= delay_us
+        if delay_us >= incoming.remaining_us and not is_complete:
+            raise BadRequestError("the timeout has passed", 503)
+        incoming.remaining_us = max(incoming.remaining_us - delay_us, 1)
 
     def _process_streamed_body(self) -> None:
         """Updates state and flow control after a part of a streamed body was received."""
