--- a/tests/soak/clients.py
+++ b/tests/soak/clients.py
@@ -13,6 +13,7 @@
 
 _LINGER_ZERO = struct.pack("ii", 1, 0)  # With this SO_LINGER value, closing a socket sends RST.
 _SMALL_BODY_BYTES = 300
+_MAX_ID_BYTES = 64
 _MAX_SEND_PAUSE_S = 0.3  # Longest pause of a client that sends a request in two parts.
 _LARGE_BODY_BYTES = 150_000  # Larger than any buffer between client and server.
 _RESPONSE_GRACE_S = 1.0  # Time for which a client waits beyond the timeout of its request.
@@ -193,7 +194,8 @@
         attempt.ended_at = now()
         attempt.status = int(response_header.split(b" ", 2)[1])
         if attempt.status == 200:
-            attempt.is_own_response = body.startswith(attempt.request_id.encode() + b"\n")
+            attempt.received_id = body.partition(b"\n")[0][:_MAX_ID_BYTES].decode("latin-1")
+            attempt.is_own_response = attempt.received_id == attempt.request_id
         if b"connection: close" in response_header.lower():
             connection.writer.close()
         elif connection.is_shared:
--- a/tests/soak/fault_proxy.py
+++ b/tests/soak/fault_proxy.py
@@ -11,7 +11,7 @@
 
 import httptools
 
-from soak.records import Records, ServerAttempt, now
+from soak.records import DuplicateResponse, Records, ServerAttempt, now
 from soak.servers import HOST, OrderServer, ServerConnection, allocate_port
 from tulipnotch.sidecar.http1.body import MAX_BUFFERED_BODY_BYTES
 
@@ -258,11 +258,15 @@
             self._record_attempt_end()
             if self._fault is RequestFault.DUPLICATE_RESPONSE:
                 delay_s = self._rng.uniform(0.0, _MAX_DUPLICATE_DELAY_S)
-                asyncio.get_running_loop().call_later(delay_s, self._repeat_response, data)
+                asyncio.get_running_loop().call_later(delay_s, self._repeat_response, data, now())
 
-    def _repeat_response(self, data: bytes) -> None:
-        if self._transport is not None and not self._transport.is_closing():
-            self._transport.write(data)
+    def _repeat_response(self, data: bytes, first_sent_at: float) -> None:
+        if self._transport is None or self._transport.is_closing():
+            return
+        request_id = data.partition(b"\r\n\r\n")[2].partition(b"\n")[0].decode("latin-1")
+        sent_at = now()
+        self._proxy.records.duplicates.append(DuplicateResponse(request_id, sent_at, sent_at - first_sent_at))
+        self._transport.write(data)
 
     def upstream_closed(self, upstream: asyncio.Transport | None) -> None:
         """Closes the connection to the sidecar after the server closed its connection."""
--- a/tests/soak/records.py
+++ b/tests/soak/records.py
@@ -68,6 +68,7 @@
     ended_at: float = 0.0  # Time at which the response was complete or the connection was lost.
     status: int = 0  # Status of the complete response; 0 if there is none.
     is_own_response: bool = True  # False if a response with status 200 has the id of another request.
+    received_id: str = ""  # The request id in a response with status 200.
     has_partial_response: bool = False  # True once the headers of a response were received.
     is_retried: bool = False  # True if the client decided to send the request again on a new connection.
 
@@ -87,6 +88,15 @@
     ended_at: float = 0.0  # Time of the response, or of the end of the connection.
 
 
+@dataclass(frozen=True, slots=True)
+class DuplicateResponse:
+    """A response that a server sent a second time, `delay_s` after the first time."""
+
+    request_id: str
+    sent_at: float
+    delay_s: float
+
+
 @dataclass(slots=True)
 class ProcessRecord:
     """One process of a sidecar; times are 0 if the event did not happen."""
@@ -143,6 +153,7 @@
 
     client_attempts: list[ClientAttempt] = field(default_factory=list)
     server_attempts: list[ServerAttempt] = field(default_factory=list)
+    duplicates: list[DuplicateResponse] = field(default_factory=list)
     processes: list[ProcessRecord] = field(default_factory=list)
     withdrawals: list[Withdrawal] = field(default_factory=list)
     pauses: list[Pause] = field(default_factory=list)
--- a/tests/soak/rule_checker.py
+++ b/tests/soak/rule_checker.py
@@ -77,7 +77,12 @@
                 if detail:
                     server_attempts = self._history.server_attempts[request_id]
                     processes = self._history.describe_processes(attempt)
-                    yield f"{detail}: {attempt} {server_attempts} {processes}"
+                    duplicates = [
+                        duplicate
+                        for duplicate in self._history.records.duplicates
+                        if duplicate.request_id == attempt.received_id and not attempt.is_own_response
+                    ]
+                    yield f"{detail}: {attempt} {server_attempts} {duplicates} {processes}"
 
     def _check_response(self, attempt: ClientAttempt) -> str:
         if not attempt.sent_at or self._history.is_unserved(attempt):
