Soak: time in which its own event loop stood still extends every limit

Such periods are measured every 0.02 s and count like those in which the sidecar is suspended; the tolerance stays at 0.25 s.

--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -14,7 +14,7 @@
 from soak.clients import LoadGenerator
 from soak.discovery import DiscoveryServer, EndpointCatalog
 from soak.fault_proxy import FaultProxy
-from soak.records import Idempotency, MemoryPeak, Records, RequestClass, SidecarEvent, now
+from soak.records import Idempotency, MemoryPeak, Records, RequestClass, SidecarEvent, Stall, now
 from soak.servers import HOST, OrderServer, allocate_port
 from soak.shim import compile_shim
 from soak.sidecars import ManagedSidecar
@@ -35,6 +35,7 @@
 _MEMORY_LIMIT_MB = 64
 _SHARED_MEMORY_LIMIT_MB = 96  # Of a sidecar of which two processes may run.
 _MEMORY_SAMPLE_S = 0.1
+_STALL_SAMPLE_S = 0.02
 _Item = TypeVar("_Item")
 
 
@@ -63,7 +64,6 @@
         self.classes = [each.scaled(factor) for each in CLASSES]
         self._extra_class = EXTRA_CLASS.scaled(factor)
         self._has_crowd = self.rng.random() < _CROWD_PROBABILITY
-        self.max_loop_delay_s = 0.0  # Longest delay of this process's own event loop, for diagnosis.
         self._tasks: set[asyncio.Task[None]] = set()
         shim_library = compile_shim(folder)
         self.sidecars = [
@@ -114,14 +114,20 @@
             self.load_generators.append(load_generator)
         await asyncio.gather(*(sidecar.start() for sidecar in self.sidecars))
         self._tasks.add(asyncio.ensure_future(self._sample_memory()))
+        self._tasks.add(asyncio.ensure_future(self._record_stalls()))
 
     async def _sample_memory(self) -> None:
         while True:
             for sidecar in self.sidecars:
                 sidecar.sample_memory()
-            due_at = now() + _MEMORY_SAMPLE_S
             await asyncio.sleep(_MEMORY_SAMPLE_S)
-            self.max_loop_delay_s = max(self.max_loop_delay_s, now() - due_at)
+
+    async def _record_stalls(self) -> None:
+        while True:
+            due_at = now() + _STALL_SAMPLE_S
+            await asyncio.sleep(_STALL_SAMPLE_S)
+            if now() > due_at + _STALL_SAMPLE_S:
+                self.records.stalls.append(Stall(due_at, now()))
 
     def start_crowd(self, duration_s: float) -> list[asyncio.Task[None]]:
         """Starts the crowd of clients, if this run has one; returns its tasks."""
--- a/tests/soak/history.py
+++ b/tests/soak/history.py
@@ -65,12 +65,15 @@
         return attempt.is_first_on_connection and is_stopping and has_successor
 
     def paused_s(self, attempt: ClientAttempt) -> float:
-        """Returns how long the process was suspended during the attempt; this extends every time limit."""
+        """Returns how long the process was suspended during the attempt; this extends every time limit.
+
+        The time in which the clients and servers themselves did not run counts too: they see events late.
+        """
         ended_at = max(attempt.ended_at, attempt.disconnected_at)
+        pauses = [pause for pause in self.records.pauses if pause.sidecar_number == attempt.sidecar_number]
         return sum(
-            max(min(ended_at, pause.ended_at) - max(attempt.sent_at, pause.started_at), 0.0)
-            for pause in self.records.pauses
-            if pause.sidecar_number == attempt.sidecar_number
+            max(min(ended_at, period.ended_at) - max(attempt.sent_at, period.started_at), 0.0)
+            for period in (*pauses, *self.records.stalls)
         )
 
     def describe_processes(self, attempt: ClientAttempt) -> str:
--- a/tests/soak/records.py
+++ b/tests/soak/records.py
@@ -130,6 +130,14 @@
     ended_at: float
 
 
+@dataclass(frozen=True, slots=True)
+class Stall:
+    """A period during which the event loop of the clients and servers, in this process, did not run."""
+
+    started_at: float
+    ended_at: float
+
+
 @dataclass(frozen=True, slots=True)
 class MemoryPeak:
     """The highest resident memory of all processes of one sidecar together."""
@@ -157,6 +165,7 @@
     processes: list[ProcessRecord] = field(default_factory=list)
     withdrawals: list[Withdrawal] = field(default_factory=list)
     pauses: list[Pause] = field(default_factory=list)
+    stalls: list[Stall] = field(default_factory=list)
     memory_peaks: list[MemoryPeak] = field(default_factory=list)
     reloads: list[SidecarEvent] = field(default_factory=list)  # The address of discovery may have changed.
     discovery_resets: list[SidecarEvent] = field(default_factory=list)  # Resets of connections to discovery.
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -109,7 +109,9 @@
         responses=Counter(attempt.status for attempt in fleet.records.client_attempts),
         failed_system_calls=sum(sidecar.shim.read_word(ControlWord.INJECTED) for sidecar in fleet.sidecars),
         process_count=len(fleet.records.processes),
-        max_loop_delay_s=fleet.max_loop_delay_s,
+        max_loop_delay_s=max(
+            (stall.ended_at - stall.started_at for stall in fleet.records.stalls), default=0.0
+        ),
         peak_memory_mb=max(peak.resident_mb for peak in fleet.records.memory_peaks),
         fault_names=schedule.fault_names,
         duration_s=now() - started_at,
--- a/tests/soak/test_rule_checker.py
+++ b/tests/soak/test_rule_checker.py
@@ -7,7 +7,7 @@
 import pytest
 
 from soak.fleet import CLASSES
-from soak.records import ClientAttempt, MemoryPeak, ProcessRecord, Records, ServerAttempt, Withdrawal
+from soak.records import ClientAttempt, MemoryPeak, ProcessRecord, Records, ServerAttempt, Stall, Withdrawal
 from soak.rule_checker import Rule, RuleChecker
 
 _LOOK, _AMEND, _STORE, _PAY = CLASSES
@@ -90,6 +90,10 @@
         client_attempts=[_client_attempt(status=0, has_partial_response=False)],
         processes=[_process(killed_at=_SENT_AT + 0.05, exit_code=-9)],
     ),
+    Records(
+        client_attempts=[_client_attempt(ended_at=_SENT_AT + 1.5)],
+        stalls=[Stall(_SENT_AT + 0.1, _SENT_AT + 0.5)],
+    ),
     Records(
         client_attempts=[_client_attempt()],
         server_attempts=[_server_attempt(0.01 + _DRAIN_GRACE_S)],
