--- a/tests/soak/history.py
+++ b/tests/soak/history.py
@@ -5,7 +5,7 @@
 from collections import defaultdict
 from collections.abc import Sequence
 
-from soak.records import ClientAttempt, ProcessRecord, Records, ServerAttempt
+from soak.records import ClientAttempt, Pause, ProcessRecord, Records, ServerAttempt, Stall
 
 # Tolerance for scheduling: clients and servers share cores with the sidecar processes and see events late.
 SCHEDULING_DELAY_S = 0.25
@@ -70,10 +70,13 @@
         The time in which the clients and servers themselves did not run counts too: they see events late.
         """
         ended_at = max(attempt.ended_at, attempt.disconnected_at)
-        pauses = [pause for pause in self.records.pauses if pause.sidecar_number == attempt.sidecar_number]
+        periods: list[Pause | Stall] = [
+            pause for pause in self.records.pauses if pause.sidecar_number == attempt.sidecar_number
+        ]
+        periods += self.records.stalls
         return sum(
             max(min(ended_at, period.ended_at) - max(attempt.sent_at, period.started_at), 0.0)
-            for period in (*pauses, *self.records.stalls)
+            for period in periods
         )
 
     def describe_processes(self, attempt: ClientAttempt) -> str:
