--- a/review/stand_ins/deployment.py
+++ b/review/stand_ins/deployment.py
@@ -87,12 +87,17 @@
             self._link.kill()
             await self._link.wait()
 
-    def client(self) -> Client:
-        """Returns a new client."""
+    @property
+    def port(self) -> int:
+        """Where the sidecar listens for clients."""
         if self._sidecar is None:
             raise CannotRunError("the sidecar was not started")
+        return self._sidecar.port
+
+    def client(self) -> Client:
+        """Returns a new client."""
         self._clients += 1
-        return Client(self.record, f"client-{self._clients}", (HOST, self._sidecar.port))
+        return Client(self.record, f"client-{self._clients}", (HOST, self.port))
 
     def request(self, service_class: str, body: bytes = b"") -> Request:
         """Returns a new request of a class, with the whole deadline of the class as its time."""
