--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,84 +1,75 @@
-"""Case 2: order servers send some answers twice; clients get answers that were made for other requests."""
+"""Case 2: an order server hangs in the middle of a long request; its client is never answered."""
 
 from __future__ import annotations
 
 import asyncio
-import random
 import sys
 from pathlib import Path
 
 HERE = Path(__file__).resolve().parent
 sys.path.insert(0, str(HERE.parent))
 
-from stand_ins.deployment import Deployment, run_case  # noqa: E402 - found by the path above
-from stand_ins.order_server import (  # noqa: E402 - found by the path above
-    Connection,
-    OrderServer,
-    ServerRequest,
-    own_body,
-    whole_answer,
-)
+from stand_ins.client import Request  # noqa: E402 - found by the path above
+from stand_ins.deployment import LATE_S, Deployment, run_case  # noqa: E402 - found by the path above
+from stand_ins.order_server import OrderServer, ServerRequest  # noqa: E402 - found by the path above
 from stand_ins.sidecar import CannotRunError  # noqa: E402 - found by the path above
 
-SITE = "tram-signals"
-SERVICE_CLASS = "set-route"  # unsafe to repeat
-LINK_DELAY_MS = 0.42  # the brief: 0.42 to 0.78 ms one way between buildings
-REPEATED_SHARE = 0.05
-SECOND_ANSWER_MS = (1.0, 12.0)  # "some milliseconds late"
-CLIENTS = 6
-THINK_S = 0.02  # mean time of a client between an answer and its next request
-LENGTH_S = 25.0
-PATIENCE_S = 5.0
-SEED = 1
+SITE = "tool-hire"
+SERVICE_CLASS = "check-out"
+# Long enough that a server that does not read is noticed on the way, short enough that the client can write
+# its last byte: buffers of the system hold the rest.  The page allows 32 MB.
+BODY_BYTES = (4_600_000, 5_400_000, 6_200_000, 6_600_000, 7_000_000, 7_400_000, 7_800_000)
+HANG_S = 10.0  # the brief: 5.8 to 22 s
+HANG_AFTER_BYTES = 128 << 10
+ROUNDS = 4
+PATIENCE_S = 1.0  # how much longer than its time a client waits, to see that no answer comes
 
 
 async def play(deployment: Deployment) -> list[str]:
-    """Plays the case; returns one line for each request that was served with another one's answer."""
-    generator = random.Random(SEED)
-    loop = asyncio.get_running_loop()
-    second_answers = 0
+    """Plays the case; returns one line for each request that was lost."""
+    hung: list[OrderServer] = []
+    held_up: set[str] = set()  # ids of the long requests whose server hangs
 
-    async def answer(server: OrderServer, request: ServerRequest, connection: Connection) -> None:
-        data = whole_answer(own_body(request))
-        connection.writer.write(data)
-        if not deployment.has_trouble or generator.random() >= REPEATED_SHARE:
-            return
-        received_parts = connection.reader.received_parts
-
-        def send_again() -> None:
-            nonlocal second_answers
-            # Only while nothing else waits on the connection, as the page has it.
-            if connection.reader.received_parts == received_parts and not connection.writer.is_closing():
-                connection.writer.write(data)
-                second_answers += 1
-                server.record.write(server.name, f"AGAIN    {request.request_id}")
-
-        loop.call_later(generator.uniform(*SECOND_ANSWER_MS) / 1_000, send_again)
+    def on_body(server: OrderServer, request: ServerRequest, size: int) -> None:
+        if deployment.has_trouble and not hung and size >= HANG_AFTER_BYTES:
+            hung.append(server)
+            server.hang()
+            asyncio.get_running_loop().call_later(HANG_S, server.recover)
+        if server in hung:
+            held_up.add(request.request_id)
 
     for server in deployment.servers:
-        server.answer = answer
-        server.work_s = 0.01
-    ends_at = loop.time() + LENGTH_S
+        server.on_body = on_body
+    await deployment.small_requests(SERVICE_CLASS, clients=3, each=30)
+    long_requests: list[Request] = []
 
-    async def work() -> None:
+    async def upload(size: int) -> None:
+        request = deployment.request(SERVICE_CLASS, bytes(size))
+        long_requests.append(request)
         client = deployment.client()
-        while loop.time() < ends_at:
-            await client.send(deployment.request(SERVICE_CLASS, b"x"), PATIENCE_S)
-            await asyncio.sleep(generator.expovariate(1.0 / THINK_S))
+        await client.send(request, request.timeout_s + LATE_S + PATIENCE_S)
         client.close()
 
-    await asyncio.gather(*(work() for _ in range(CLIENTS)))
-    if deployment.has_trouble and not second_answers:
-        raise CannotRunError("no order server sent a second answer")
-    deployment.record.write("case", f"{second_answers} second answers were sent")
-    return [
-        f"{each.request_id}: served 200 with {each.answer.decode('latin-1').strip()!r}"
-        for each in deployment.requests
-        if each.status == 200
-        and each.answer is not None
-        and each.answer != f"made for {each.request_id}\n".encode()
-    ]
+    for _ in range(ROUNDS):
+        await asyncio.gather(*(upload(size) for size in BODY_BYTES))
+        await asyncio.sleep(0.2)
+    if deployment.has_trouble and not any(
+        each.request_id in held_up and each.sent_at is not None for each in long_requests
+    ):
+        raise CannotRunError("no client had written all of a request whose order server hung")
+    return [line for each in deployment.requests if (line := loss_of(each))]
+
+
+def loss_of(request: Request) -> str:
+    """Returns how a request was lost; empty if its client got a final answer in time, or sent it in part."""
+    if request.sent_at is None:
+        return ""
+    about = f"{request.request_id}: {len(request.body)} bytes, all written at {request.sent_at:.3f} s"
+    if request.answered_at is None:
+        return f"{about}, {request.timeout_s} s to wait: {request.end}"
+    waited_s = request.answered_at - request.sent_at
+    return f"{about}, answered after {waited_s:.3f} s" if waited_s > request.timeout_s + LATE_S else ""
 
 
 if __name__ == "__main__":
-    sys.exit(run_case(HERE, SITE, play, LINK_DELAY_MS))
+    sys.exit(run_case(HERE, SITE, play))
--- a/review/stand_ins/deployment.py
+++ b/review/stand_ins/deployment.py
@@ -124,10 +124,16 @@
     site_name: str,
     play: Callable[[Deployment], Awaitable[list[str]]],
     link_delay_ms: float | None = None,
+    configure: Callable[[Deployment], None] | None = None,
 ) -> int:
-    """Plays a case, which returns what breaks the rule; returns the exit code of its script."""
+    """Plays a case, which returns what breaks the rule; returns the exit code of its script.
+
+    `configure` may change the order servers before anything is started.
+    """
     record = Record(folder / "record.txt")
     deployment = Deployment(record, site_name, link_delay_ms)
+    if configure is not None:
+        configure(deployment)
     record.write("case", f"site {site_name}, trouble {'on' if deployment.has_trouble else 'off'}")
 
     async def work() -> list[str]:
--- a/review/stand_ins/order_server.py
+++ b/review/stand_ins/order_server.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from typing import Any
@@ -11,6 +12,8 @@
 from stand_ins.record import Record
 
 _READ_BYTES = 64 << 10
+_SLOW_READ_EVERY_S = 0.03
+_BACKLOG = 100
 
 
 @dataclass(slots=True)
@@ -41,9 +44,9 @@
 class CountingReader(asyncio.StreamReader):
     """A stream that counts what it has received, so that its server knows whether something waits."""
 
-    def __init__(self) -> None:
-        """Starts with no parts; requires a running event loop."""
-        super().__init__(loop=asyncio.get_running_loop())
+    def __init__(self, limit: int = _READ_BYTES) -> None:
+        """Starts with no parts, and takes some `limit` bytes ahead; requires a running event loop."""
+        super().__init__(limit=limit, loop=asyncio.get_running_loop())
         self.received_parts = 0
 
     def feed_data(self, data: Any) -> None:
@@ -73,6 +76,11 @@
         self.is_running = asyncio.Event()  # cleared while the server hangs: it reads and answers nothing
         self.is_running.set()
         self.ran: list[str] = []  # ids of the requests that it has run
+        # Decides whether a request that was read is run, or dropped as a repeat; None: all are run.
+        self.may_run: Callable[[OrderServer, ServerRequest], bool] | None = None
+        # Asked of the system for the bytes that wait to be read; None: what it gives by itself.
+        self.receive_buffer_bytes: int | None = None
+        self.reading_pace: float | None = None  # bytes of a body a second; None: as fast as they come
         # Called with each part of a body that was read, and its size so far.
         self.on_body: Callable[[OrderServer, ServerRequest, int], None] | None = None
         # Writes the answer to a request that has run; None: a 200 with `own_body`.
@@ -88,11 +96,16 @@
 
     async def start(self, host: str) -> None:
         """Listens on a free port."""
-        server = await asyncio.get_running_loop().create_server(self._create_protocol, host, 0)
-        self._host, self.port = host, server.sockets[0].getsockname()[1]
+        # The protocol is named, since the event loop disables the delay of small writes only then.
+        listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM, socket.IPPROTO_TCP)
+        if self.receive_buffer_bytes is not None:
+            listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, self.receive_buffer_bytes)
+        listener.bind((host, 0))
+        self._host, self.port = host, listener.getsockname()[1]
+        await asyncio.get_running_loop().create_server(self._create_protocol, sock=listener, backlog=_BACKLOG)
 
     def _create_protocol(self) -> asyncio.StreamReaderProtocol:
-        reader = CountingReader()
+        reader = CountingReader(self.receive_buffer_bytes or _READ_BYTES)
 
         async def serve(_: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
             await self._serve(Connection(reader, writer))
@@ -115,9 +128,12 @@
             while True:
                 request = await self._read(connection.reader)
                 await self.is_running.wait()
-                self.ran.append(request.request_id)
-                self.record.write(self.name, f"runs     {request.request_id}")
-                await asyncio.sleep(self.work_s)
+                if self.may_run is None or self.may_run(self, request):
+                    self.ran.append(request.request_id)
+                    self.record.write(self.name, f"runs     {request.request_id}")
+                    await asyncio.sleep(self.work_s)
+                else:
+                    self.record.write(self.name, f"drops    {request.request_id}, a repeat")
                 await self.is_running.wait()
                 if self.answer is not None:
                     await self.answer(self, request, connection)
@@ -142,10 +158,14 @@
         length, parts, size = int(request.headers.get("content-length", "0")), [], 0
         while size < length:
             await self.is_running.wait()
-            parts.append(await reader.read(min(_READ_BYTES, length - size)))
+            pace = self.reading_pace
+            read_bytes = _READ_BYTES if pace is None else int(pace * _SLOW_READ_EVERY_S)
+            parts.append(await reader.read(min(read_bytes, length - size)))
             if not parts[-1]:
                 raise asyncio.IncompleteReadError(b"", length - size)
             size += len(parts[-1])
+            if pace is not None:
+                await asyncio.sleep(len(parts[-1]) / pace)
             if self.on_body is not None:
                 self.on_body(self, request, size)
         request.body = b"".join(parts)
