--- a/tulipnotch/load_balancing/balancer.py
+++ b/tulipnotch/load_balancing/balancer.py
@@ -9,13 +9,13 @@
 
 from tulipnotch.load_balancing.actions import Action, CancelAttempt, FailRequest, RejectRequest, StartAttempt
 from tulipnotch.load_balancing.admission.pressure import Pressure
+from tulipnotch.load_balancing.attempt_rules import is_attempt_permitted
 from tulipnotch.load_balancing.components import Components
 from tulipnotch.load_balancing.endpoints.endpoint import Endpoint
 from tulipnotch.load_balancing.endpoints.endpoint_list import EndpointCounts
 from tulipnotch.load_balancing.events import (
     AttemptEnded,
     ClientDisconnected,
-    EndpointState,
     EndpointsUpdated,
     Event,
     RequestArrived,
@@ -28,7 +28,6 @@
 from tulipnotch.load_balancing.metrics.latency import INITIAL_EXPECTED_OBJECTIVES
 from tulipnotch.load_balancing.outcomes import Outcome, TerminationReason
 from tulipnotch.load_balancing.requests import PENDING, Attempt, AttemptState, Request
-from tulipnotch.load_balancing.retries import idempotency_rule
 from tulipnotch.load_balancing.settings import ServiceClass, Settings
 from tulipnotch.load_balancing.timer_queue import DISCOVERY, REQUEST_DEADLINE, TimerEntry
 
@@ -179,7 +178,7 @@
 
     def _start_attempt(self, request: Request, endpoint: Endpoint) -> bool:
         """Starts an attempt and returns True if all rules permit it. Attempts are started nowhere else."""
-        if not self._is_permitted(request, endpoint):
+        if not is_attempt_permitted(self._components, request, endpoint):
             return False
         components = self._components
         now = self._context.now
@@ -196,22 +195,6 @@
         self._context.actions.append(StartAttempt(request.request_id, endpoint.name, request.respond_by))
         return True
 
-    def _is_permitted(self, request: Request, endpoint: Endpoint) -> bool:
-        now, limits = self._context.now, self._context.settings.limits
-        if request.is_responded or now >= request.respond_by:
-            return False  # rule 1: no attempt after the final response, or too late for one in time
-        if len(request.attempts) >= limits.max_attempts:
-            return False
-        if not limits.hedged_requests and request.has_pending_attempt:
-            return False  # rule 2: no duplicate effects; hedged requests need permission
-        if now >= self._components.retries.retry_deadline(request):
-            return False  # rule 2: too late for another execution
-        if not idempotency_rule.is_in_deduplication_scope(request.service_class, endpoint, request.attempts):
-            return False  # rule 2: this endpoint would not deduplicate earlier attempts
-        if endpoint.state is not EndpointState.READY:
-            return False  # rule 3: ready endpoints only, from the update on; the drain grace is not used
-        return self._components.slow_start.has_budget(endpoint, request.work)  # rule 4: warm-up budget
-
     def _attempt_in_flight(self, request: Request, attempt: Attempt) -> None:
         """Counts an attempt as in flight: its server has the complete request, or will shortly."""
         attempt.state = AttemptState.IN_FLIGHT
