A client whose server hangs in the middle of a long body is answered in time

Cause: the time of a request began when its last byte was read, not when its client had written it. While 32 KiB wait for the server the client is not read, and no timer ran. Evidence: with the new gauge app.paused_uploads, 0.2 s and 3.2 s after the last byte it is 1 and app.pending (complete requests) 0, with no result, refusal or retry counted; so the time had not begun, rather than that a timer was lost or an answer not read. 1.4 MB of the 6 MB were in the client's own socket then: the byte can't be seen from here.

Change: UploadBackpressure counts the client's timeout from the last moment at which its last byte was certainly not written (all that came was read, or more is missing than the system's buffers hold). What the client has waited when a server goes on in time is deducted. It works because it needs to know only when the byte was not written yet.

--- a/tests/external_names/test_control_names.py
+++ b/tests/external_names/test_control_names.py
@@ -35,6 +35,7 @@
 app.malformed_responses.stalled app.malformed_responses.not_awaited
 app.pending app.members app.members_unavailable app.invariant_violations
 app.resident_bytes app.peak_resident_bytes app.request_buffer_bytes app.response_buffer_bytes
+app.paused_uploads
 """.split()
 LEVELS_TABLE = """
 [[overload.levels]]
--- a/tests/large_bodies.py
+++ b/tests/large_bodies.py
@@ -4,9 +4,10 @@
 
 import asyncio
 import hashlib
+import socket
 from collections.abc import AsyncIterator
 
-from loopback import OK_RESPONSE, ScriptedServer, read_head
+from loopback import HOST, OK_RESPONSE, ScriptedServer, read_head
 
 
 def pseudorandom_bytes(size: int) -> bytes:
@@ -17,19 +18,33 @@
 class BodyDigestServer(ScriptedServer):
     """Reads bodies with a length or in chunks, and keeps a digest of each; a test can pause the reading."""
 
-    def __init__(self, response: bytes = OK_RESPONSE) -> None:
-        """Starts with reading allowed; a test pauses it by clearing `reading_allowed`."""
+    def __init__(self, response: bytes = OK_RESPONSE, receive_buffer_bytes: int | None = None) -> None:
+        """Starts with reading allowed; a test pauses it by clearing `reading_allowed`.
+
+        The system holds about `receive_buffer_bytes` for it on each connection; None: as much as it chooses.
+        """
         super().__init__(None)
+        self._receive_buffer_bytes = receive_buffer_bytes
         self.response = response
         self.reading_allowed = asyncio.Event()
         self.reading_allowed.set()
+        self.chunk_delay_s = 0.0  # wait after each chunk of at most 64 KiB
         self.received_headers: list[dict[str, str]] = []
         self.digests: list[bytes] = []
         self.received_bytes = 0
         # Each entry aborts one connection in the middle of a body, once 60,000 bytes have arrived.
         self.pending_aborts: list[str] = []
 
+    async def start(self, port: int = 0) -> ScriptedServer:
+        """Listens on this port, or on a free port for 0."""
+        listener = socket.create_server((HOST, port))
+        if self._receive_buffer_bytes is not None:
+            listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, self._receive_buffer_bytes)
+        self._server = await asyncio.start_server(self._serve, sock=listener)
+        return self
+
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        connection_number, self.connection_count = self.connection_count, self.connection_count + 1
         self._writers.append(writer)
         try:
             while True:
@@ -44,11 +59,13 @@
                         writer.transport.abort()
                         return
                     await self.reading_allowed.wait()
+                    await asyncio.sleep(self.chunk_delay_s)
                 self.digests.append(digest.digest())
                 writer.write(self.response)
         except (asyncio.IncompleteReadError, ConnectionError):
             pass
         finally:
+            self.closed_connections.append(connection_number)
             writer.close()
 
     async def _body_chunks(
--- a/tests/running.py
+++ b/tests/running.py
@@ -17,6 +17,7 @@
 from loopback import (
     HOST,
     SERVICE_CLASSES,
+    TEST_TIMEOUT_S,
     Client,
     ReceivedRequest,
     ScriptedDiscovery,
@@ -143,10 +144,10 @@
 
 @asynccontextmanager
 async def server_with_config(
-    script: Callable[[ReceivedRequest], Any] | bytes, folder: Path
+    script: Callable[[ReceivedRequest], Any] | bytes | ScriptedServer, folder: Path
 ) -> AsyncIterator[tuple[Path, ScriptedServer]]:
     """Runs a server and a discovery that lists it; yields the path of a configuration file and the server."""
-    server = await ScriptedServer(script).start()
+    server = await (script if isinstance(script, ScriptedServer) else ScriptedServer(script)).start()
     discovery = ScriptedDiscovery()
     discovery.servers = [endpoint_entry("s-1", server.address)]
     await discovery.start()
@@ -162,7 +163,7 @@
 
 @asynccontextmanager
 async def sidecar_with_server(
-    script: Callable[[ReceivedRequest], Any] | bytes, folder: Path
+    script: Callable[[ReceivedRequest], Any] | bytes | ScriptedServer, folder: Path
 ) -> AsyncIterator[SidecarProcess]:
     """Runs a sidecar process with discovery and one scripted server."""
     async with (
@@ -178,6 +179,20 @@
         await asyncio.sleep(0.01)
 
 
+async def read_metric(running: SidecarProcess, name: str) -> int:
+    """Returns the value of a metric of the control endpoint."""
+    lines = await running.send_command("telemetry")
+    (value,) = [each.partition("=")[2] for each in lines if each.startswith(f"{name}=")]
+    return int(value)
+
+
+async def wait_for_metric(running: SidecarProcess, name: str, value: int) -> None:
+    """Waits until a metric of the control endpoint has this value."""
+    async with asyncio.timeout(TEST_TIMEOUT_S):
+        while await read_metric(running, name) != value:
+            await asyncio.sleep(0.01)
+
+
 def resident_bytes(running: SidecarProcess) -> int:
     """Returns the resident memory of the process."""
     status = Path(f"/proc/{running.process.pid}/status").read_text()
--- a/tests/sidecar/requests/test_streamed_bodies.py
+++ b/tests/sidecar/requests/test_streamed_bodies.py
@@ -23,8 +23,13 @@
 )
 
 from tulipnotch.load_balancing.actions import FailRequest, RejectRequest
-from tulipnotch.load_balancing.events import AttemptEnded, RequestArrived, RequestBodyCompleted
-from tulipnotch.load_balancing.outcomes import Outcome
+from tulipnotch.load_balancing.events import (
+    AttemptEnded,
+    RequestArrived,
+    RequestBodyCompleted,
+    RequestTimedOut,
+)
+from tulipnotch.load_balancing.outcomes import Outcome, TerminationReason
 from tulipnotch.sidecar.downstream.client_limits import ClientLimits
 from tulipnotch.sidecar.http1.body import MAX_BODY_BYTES, MAX_BUFFERED_BODY_BYTES, Body
 from tulipnotch.sidecar.sidecar import Sidecar
@@ -423,6 +428,19 @@
     assert [each.request for each in driver.actions_of_type(FailRequest)] == [1]
 
 
+def test_request_is_rejected_and_not_retried_when_it_times_out_with_an_incomplete_body() -> None:
+    driver = BalancerDriver()
+    driver.update_endpoints(endpoint_names(3))
+    driver.handle(RequestArrived(1, "look", None, None, 500 * MS, body_incomplete=True))
+    driver.handle(RequestTimedOut(1))
+    assert driver.actions_of_type(RejectRequest) == []  # its attempt may still be written
+    driver.end_attempt(1, Outcome.CONNECT_FAILED)
+    assert len(driver.started_attempts(1)) == 1
+    (rejection,) = driver.actions_of_type(RejectRequest)
+    assert rejection.reason is TerminationReason.DEADLINE
+    assert driver.handle(RequestTimedOut(1)) == []  # it has ended
+
+
 def test_request_is_rejected_immediately_when_it_is_not_retryable() -> None:
     driver = BalancerDriver()
     driver.update_endpoints(endpoint_names(3))
--- a/tests/sidecar/test_process_memory.py
+++ b/tests/sidecar/test_process_memory.py
@@ -26,7 +26,9 @@
     logged: list[dict[str, object]] = []
     monitor = MemoryMonitor(
         _LIMIT_MB,
-        lambda: BufferUsage(request_bytes=2_048, response_bytes=4_096, clients=3, servers=5),
+        lambda: BufferUsage(
+            request_bytes=2_048, response_bytes=4_096, clients=3, servers=5, paused_uploads=1
+        ),
         lambda _event, /, **fields: logged.append(fields),
     )
     for resident_mb in (74, 75, 76, 79, 81, 76, 82, 60, 75):
--- a/tulipnotch/load_balancing/balancer.py
+++ b/tulipnotch/load_balancing/balancer.py
@@ -20,6 +20,7 @@
     Event,
     RequestArrived,
     RequestBodyCompleted,
+    RequestTimedOut,
     ResponseStarted,
     ServiceLevelChanged,
     SettingsChanged,
@@ -64,6 +65,8 @@
                 self._client_disconnected(event)
             case RequestBodyCompleted():
                 self._request_body_completed(event)
+            case RequestTimedOut():
+                self._request_timed_out(event)
             case ResponseStarted():
                 self._response_started(event)
             case _:
@@ -156,6 +159,15 @@
                 attempt.responses_before = self._components.outlier_detection.healthy_response_count
                 self._attempt_in_flight(request, attempt)
 
+    def _request_timed_out(self, event: RequestTimedOut) -> None:
+        """Permits no further attempt; the request is terminated once its pending attempts have ended."""
+        request = self._requests.get(event.request)
+        if request is None or request.is_responded:
+            return
+        request.respond_by = self._context.now
+        if not request.has_pending_attempt:
+            self._terminate_request(request, TerminationReason.DEADLINE)
+
     def _client_disconnected(self, event: ClientDisconnected) -> None:
         request = self._requests.get(event.request)
         if request is not None and not request.is_responded:
@@ -267,7 +279,10 @@
         is_overload_retry = event.outcome is Outcome.OVERLOADED
         request.failed_endpoints.append(attempt.endpoint)
         request.overloaded_responses += is_overload_retry
-        if event.is_retryable and retries.may_retry(request, is_overload_retry=is_overload_retry):
+        is_timed_out = self._context.now >= request.respond_by
+        if is_timed_out and not request.has_pending_attempt:
+            self._terminate_request(request, TerminationReason.DEADLINE)
+        elif event.is_retryable and retries.may_retry(request, is_overload_retry=is_overload_retry):
             if not is_overload_retry:
                 retries.consume_budget()
             self._start_or_terminate(request)
--- a/tulipnotch/load_balancing/events.py
+++ b/tulipnotch/load_balancing/events.py
@@ -77,6 +77,13 @@
     remaining_us: int
 
 
+@dataclass(slots=True)
+class RequestTimedOut:
+    """The client of an incomplete request may have no time left; no further attempt can serve it."""
+
+    request: int
+
+
 @dataclass(slots=True)
 class ResponseStarted:
     """The streamed response of an attempt began; the attempt can no longer be replaced by another."""
@@ -160,6 +167,7 @@
     | ServiceLevelChanged
     | RequestArrived
     | RequestBodyCompleted
+    | RequestTimedOut
     | ResponseStarted
     | AttemptEnded
     | ClientDisconnected
--- a/tulipnotch/sidecar/control_commands.py
+++ b/tulipnotch/sidecar/control_commands.py
@@ -89,6 +89,7 @@
             "peak_resident_bytes": peak_resident_bytes(),
             "request_buffer_bytes": usage.request_bytes,
             "response_buffer_bytes": usage.response_bytes,
+            "paused_uploads": usage.paused_uploads,
         }
         if self._level_monitor is not None:
             gauges |= {"level": self._level_monitor.index, "level_changes": self._level_monitor.change_count}
--- a/tulipnotch/sidecar/downstream/connection.py
+++ b/tulipnotch/sidecar/downstream/connection.py
@@ -22,6 +22,7 @@
 from tulipnotch.sidecar.downstream.interfaces import ConnectionOwner
 from tulipnotch.sidecar.downstream.response_stream import ResponseProducer, ResponseStream
 from tulipnotch.sidecar.downstream.transfer_progress import TransferProgress
+from tulipnotch.sidecar.downstream.upload_backpressure import UploadBackpressure
 from tulipnotch.sidecar.http1.body import MAX_BUFFERED_BODY_BYTES
 from tulipnotch.sidecar.http1.messages import (
     CONTINUE_RESPONSE,
@@ -32,7 +33,14 @@
 from tulipnotch.sidecar.http1.request_reader import RequestReader
 from tulipnotch.sidecar.requests.invariants import CloseReason
 from tulipnotch.sidecar.response_budget import CountedBytes
-from tulipnotch.sidecar.sockets import borrow_socket, has_unread_input, is_peer_closed, register_for_input
+from tulipnotch.sidecar.sockets import (
+    borrow_socket,
+    has_unread_input,
+    is_peer_closed,
+    max_send_buffer_bytes,
+    register_for_input,
+    unread_bytes,
+)
 
 # Reading from the client pauses while this much of a streamed body waits to be written to the server.
 _MAX_PENDING_BODY_BYTES = 32 << 10
@@ -46,6 +54,7 @@
 
     __slots__ = (
         "_accept_delay_s",
+        "_backpressure",
         "_classes",
         "_close_reason",
         "_counted_output",
@@ -79,6 +88,7 @@
         self._input_poll = select.poll()
         self._request: Request | None = None  # the request that is being responded to
         self._classes: Mapping[str, ServiceClass] = {}  # those current at the first byte of the request
+        self._backpressure: UploadBackpressure | None = None  # set while the body of a request is streamed
         self._request_number: int | None = None  # the handler's number, while the response is pending
         self._stream: ResponseStream | None = None  # set while a response is streamed
         self._is_writing_paused = False
@@ -129,6 +139,37 @@
             return False
         return self._progress.is_stalled(now, limits)
 
+    @property
+    def upload_wait_s(self) -> float:
+        """How long, at most, the last byte of the request's body has been written and unread (s)."""
+        backpressure = self._backpressure
+        return 0.0 if backpressure is None else backpressure.waited_s(asyncio.get_running_loop().time())
+
+    def is_upload_timed_out(self, now: float, limits: ClientLimits) -> bool:
+        """Returns whether the client's timeout may pass before the next check, with its body not read."""
+        backpressure = self._backpressure
+        if backpressure is None or not backpressure.is_pending:
+            return False
+        if self._is_client_sending():
+            backpressure.last_byte_not_sent(now)
+        return backpressure.is_timed_out(now + limits.sweep_s)
+
+    def _is_client_sending(self) -> bool:
+        """Returns whether the client has certainly not written the last byte of its body.
+
+        What it has written and the sidecar has not read is in buffers of the system, whose size is limited.
+        """
+        request, transport, max_unsent = self._request, self._open_transport, max_send_buffer_bytes()
+        if request is None or request.length is None or transport is None or max_unsent is None:
+            return False
+        unread = unread_bytes(transport)
+        return unread is not None and request.length - request.body.size - unread > max_unsent
+
+    def time_out_upload(self) -> None:
+        """Ends the request: its client may have waited for its whole timeout, with its body not read."""
+        if self._request_number is not None and self._stream is None:
+            self._owner.handler.upload_timed_out(self._request_number)
+
     def is_response_stalled(self, now: float, limits: ClientLimits) -> bool:
         """Returns whether the client has stopped reading its response."""
         return self.has_unsent_output and now - self._progress.last_progress_at >= limits.reading_s
@@ -231,7 +272,7 @@
 
     def _finish_exchange(self, *, closing: bool) -> None:
         """Proceeds to the next request, or closes the connection, after a response was written."""
-        self._request = None
+        self._request = self._backpressure = None
         if closing:
             self.close(CloseReason.RESPONDED)
             return
@@ -343,6 +384,9 @@
         if reader.has_head and not had_head:
             self._progress.start_window(now)
         if self.state is ConnectionState.STREAMING_BODY:
+            backpressure = self._backpressure
+            if backpressure is not None and backpressure.is_pending and not self.has_unread_input:
+                backpressure.input_drained()
             # Must precede the counting of the bytes, which may abandon a request in this state: a request
             # must not be abandoned once its last byte was forwarded.
             self._process_streamed_body()
@@ -425,6 +469,7 @@
             self._request_number = self._owner.handler.request_received(self, incoming)
             if self._request_number is not None and not request.body.is_complete:
                 request.body.on_consumed = self._resume_reading
+                self._backpressure = UploadBackpressure(incoming.remaining_us / 1e6)
                 self._process_streamed_body()
         except BadRequestError as error:
             self.reject(error.status, error.text)
@@ -453,6 +498,8 @@
         elif request.body.is_complete:
             self._set_state(ConnectionState.AWAITING_RESPONSE)
         elif request.body.pending_bytes >= _MAX_PENDING_BODY_BYTES:
+            if self._backpressure is not None:
+                self._backpressure.reading_paused(asyncio.get_running_loop().time())
             self._pause_reading()
 
     def _pause_reading(self) -> None:
--- a/tulipnotch/sidecar/downstream/interfaces.py
+++ b/tulipnotch/sidecar/downstream/interfaces.py
@@ -31,6 +31,10 @@
         """
         ...
 
+    def upload_timed_out(self, number: int) -> None:
+        """Handles that the client of an incomplete request may have waited for its whole timeout."""
+        ...
+
     def client_disconnected(self, number: int) -> None:
         """Handles that a request with a pending response has lost its client or was abandoned."""
         ...
--- a/tulipnotch/sidecar/downstream/server.py
+++ b/tulipnotch/sidecar/downstream/server.py
@@ -10,6 +10,7 @@
 from tulipnotch.sidecar.control.lifecycle import Lifecycle
 from tulipnotch.sidecar.downstream.client_limits import ClientLimits
 from tulipnotch.sidecar.downstream.connection import DownstreamConnection
+from tulipnotch.sidecar.downstream.connection_state import ConnectionState
 from tulipnotch.sidecar.downstream.connection_table import ConnectionTable
 from tulipnotch.sidecar.downstream.incoming_request import IncomingRequest, validate_request
 from tulipnotch.sidecar.downstream.interfaces import RequestHandler
@@ -96,6 +97,12 @@
         """Number of bytes that are buffered for requests, over all connections."""
         return self.connection_table.buffered_bytes
 
+    @property
+    def paused_upload_count(self) -> int:
+        """Number of clients that are not read because the server of their request accepts no more."""
+        uploading = self.connection_table.connections_in_state(ConnectionState.STREAMING_BODY)
+        return sum(connection.is_reading_paused for connection in uploading)
+
     @property
     def unsent_response_bytes(self) -> int:
         """Number of bytes of responses that the kernel has not accepted yet, over all connections."""
--- a/tulipnotch/sidecar/downstream/timeouts.py
+++ b/tulipnotch/sidecar/downstream/timeouts.py
@@ -69,6 +69,8 @@
         for connection in self._connections.connections_in_state(ConnectionState.STREAMING_BODY):
             if connection.is_request_stalled(now, self._limits):
                 connection.abandon_request(408)
+            elif connection.is_upload_timed_out(now, self._limits):
+                connection.time_out_upload()
             elif connection.is_reading_paused:
                 connection.abort_if_disconnected()
 
--- a/tulipnotch/sidecar/process_memory.py
+++ b/tulipnotch/sidecar/process_memory.py
@@ -23,6 +23,7 @@
     response_bytes: int
     clients: int  # open client connections
     servers: int  # open server connections
+    paused_uploads: int  # clients that are not read because the server of their request accepts no more
 
 
 def resident_bytes() -> int:
--- a/tulipnotch/sidecar/requests/request_receiver.py
+++ b/tulipnotch/sidecar/requests/request_receiver.py
@@ -2,14 +2,19 @@
 
 from __future__ import annotations
 
-from tulipnotch.load_balancing.events import ClientDisconnected, RequestArrived, RequestBodyCompleted
+from tulipnotch.load_balancing.events import (
+    ClientDisconnected,
+    RequestArrived,
+    RequestBodyCompleted,
+    RequestTimedOut,
+)
 from tulipnotch.sidecar.control.telemetry import RequestResult
 from tulipnotch.sidecar.downstream.connection import DownstreamConnection
 from tulipnotch.sidecar.downstream.incoming_request import BadRequestError, IncomingRequest
 from tulipnotch.sidecar.event_queue import EventQueue
 from tulipnotch.sidecar.requests.context import SidecarContext
 from tulipnotch.sidecar.requests.invariants import CloseReason
-from tulipnotch.sidecar.requests.open_request import OpenRequest, StreamingResponse
+from tulipnotch.sidecar.requests.open_request import OpenRequest, StreamingResponse, WaitingForResponse
 from tulipnotch.sidecar.requests.request_registry import RequestRegistry
 from tulipnotch.sidecar.requests.responses import ResponseSender
 
@@ -76,15 +81,29 @@
         return request.number if request.is_waiting else None
 
     def _body_completed(self, request: OpenRequest) -> None:
-        """Starts the request's timeout, now that the last byte of its body was received."""
-        if not request.is_waiting:
+        """Starts the request's timeout, now that the last byte of its body was received.
+
+        The client may have written that byte long before, while its body was not read.
+        """
+        waiting = request.response
+        if type(waiting) is not WaitingForResponse:
             return
         now = request.body_completed_at = self._context.clock.now()
-        remaining_us = self._registry.limit_remaining_time(request.incoming.remaining_us, now)
+        client_remaining_us = request.incoming.remaining_us - int(waiting.client.upload_wait_s * 1e6)
+        remaining_us = self._registry.limit_remaining_time(max(client_remaining_us, 1), now)
         for upstream_request in request.upstream_requests:
             self._context.upstream.set_deadline(upstream_request, now + remaining_us)
         self._events.post(RequestBodyCompleted(request.number, remaining_us))
 
+    def upload_timed_out(self, number: int) -> None:
+        """Ends a request whose server accepts its body too slowly for the client's timeout."""
+        request = self._registry.get(number)
+        if request is None or not request.is_waiting:
+            return
+        self._events.post(RequestTimedOut(number))
+        for upstream_request in request.upstream_requests:
+            self._context.upstream.time_out_request(upstream_request)
+
     def client_disconnected(self, number: int) -> None:
         """Handles a client that disconnected before the end of its response, or whose body was abandoned."""
         request = self._registry.get(number)
--- a/tulipnotch/sidecar/sidecar.py
+++ b/tulipnotch/sidecar/sidecar.py
@@ -201,6 +201,7 @@
             response_bytes=upstream.buffered_bytes + downstream.unsent_response_bytes,
             clients=downstream.open_connections,
             servers=upstream.open_connections,
+            paused_uploads=downstream.paused_upload_count,
         )
 
     def command_handlers(self) -> Mapping[str, CommandHandler]:
--- a/tulipnotch/sidecar/sockets.py
+++ b/tulipnotch/sidecar/sockets.py
@@ -3,12 +3,20 @@
 from __future__ import annotations
 
 import asyncio
+import fcntl
 import select
 import socket
+import struct
+import termios
 from collections.abc import Iterator
 from contextlib import contextmanager
+from functools import cache
+from pathlib import Path
 
 _DISCONNECT_EVENTS = select.POLLRDHUP | select.POLLHUP | select.POLLERR
+_SYSTEM_LIMITS = Path("/proc/sys/net")
+# A send buffer may exceed its limit by one segment.
+_MAX_SEGMENT_BYTES = 64 << 10
 
 
 @contextmanager
@@ -42,3 +50,33 @@
 def is_peer_closed(poll: select.poll) -> bool:
     """Returns whether the peer has closed or reset the connection; bytes before its end may be unread."""
     return any(events & _DISCONNECT_EVENTS for _, events in poll.poll(0))
+
+
+def unread_bytes(transport: asyncio.BaseTransport) -> int | None:
+    """Returns how many received bytes the socket of an open transport holds; None if it is not known."""
+    return _queued_bytes(transport, termios.FIONREAD)
+
+
+def _queued_bytes(transport: asyncio.BaseTransport, request: int) -> int | None:
+    """Returns the answer of the system to an ioctl that asks for a number of bytes; None if it fails."""
+    descriptor = transport.get_extra_info("socket").fileno()
+    try:
+        answer = fcntl.ioctl(descriptor, request, struct.pack("i", 0))
+    except OSError:
+        return None
+    return int(struct.unpack("i", answer)[0])
+
+
+@cache
+def max_send_buffer_bytes() -> int | None:
+    """Returns how many bytes a socket of this machine may hold unsent; None if it is not known.
+
+    The larger one of two limits counts: that of buffers that grow by themselves, and that of buffers whose
+    size a process has set, which the system doubles.
+    """
+    try:
+        automatic_bytes = int((_SYSTEM_LIMITS / "ipv4" / "tcp_wmem").read_text().split()[2])
+        requested_bytes = int((_SYSTEM_LIMITS / "core" / "wmem_max").read_text())
+    except (OSError, ValueError, IndexError):
+        return None
+    return max(automatic_bytes, 2 * requested_bytes) + _MAX_SEGMENT_BYTES
--- a/tulipnotch/sidecar/upstream/pool.py
+++ b/tulipnotch/sidecar/upstream/pool.py
@@ -124,6 +124,10 @@
         """Cancels a request; its observer is notified after this call has returned."""
         self._gate.cancel_request(request)
 
+    def time_out_request(self, request: UpstreamRequest) -> None:
+        """Ends a request whose client has no time left; its observer is notified within this call."""
+        self._gate.time_out_request(request)
+
     def cancel_if_unwritten(self, request: UpstreamRequest) -> None:
         """Cancels a request unless it is written completely.
 
--- a/tulipnotch/sidecar/upstream/write_gate.py
+++ b/tulipnotch/sidecar/upstream/write_gate.py
@@ -88,6 +88,16 @@
         if outcome is not Outcome.NOT_SENT and now < request.deadline:
             self.restart_timer(request)  # it was written in time, or its write deadline has changed
             return
+        self._close_and_end(request, outcome)
+
+    def time_out_request(self, request: UpstreamRequest) -> None:
+        """Ends a request whose client has no time left, as if its deadline had passed."""
+        if not request.has_ended:
+            self._close_and_end(
+                request, Outcome.CONNECT_FAILED if request.is_unwritten else Outcome.TIMED_OUT
+            )
+
+    def _close_and_end(self, request: UpstreamRequest, outcome: Outcome) -> None:
         if request.connection is not None:
             request.connection.close()
         self.end_request(request, outcome)
