--- a/tulipnotch/sidecar/downstream/connection.py
+++ b/tulipnotch/sidecar/downstream/connection.py
@@ -9,19 +9,17 @@
 from __future__ import annotations
 
 import asyncio
-import select
 import socket
 from collections.abc import Mapping
 from typing import cast
 
 from tulipnotch.load_balancing.settings import ServiceClass
+from tulipnotch.sidecar.downstream.client_input import ClientInput
 from tulipnotch.sidecar.downstream.client_limits import ClientLimits
 from tulipnotch.sidecar.downstream.connection_state import ConnectionState
 from tulipnotch.sidecar.downstream.incoming_request import BadRequestError, IncomingRequest
 from tulipnotch.sidecar.downstream.interfaces import ConnectionOwner
 from tulipnotch.sidecar.downstream.response_stream import ResponseProducer, ResponseStream
-from tulipnotch.sidecar.downstream.transfer_progress import TransferProgress
-from tulipnotch.sidecar.downstream.upload_backpressure import UploadBackpressure
 from tulipnotch.sidecar.http1.body import MAX_BUFFERED_BODY_BYTES
 from tulipnotch.sidecar.http1.messages import (
     CONTINUE_RESPONSE,
@@ -32,15 +30,7 @@
 from tulipnotch.sidecar.http1.request_reader import RequestReader
 from tulipnotch.sidecar.requests.invariants import CloseReason
 from tulipnotch.sidecar.response_budget import CountedBytes
-from tulipnotch.sidecar.sockets import (
-    borrow_socket,
-    has_unread_input,
-    is_peer_closed,
-    max_send_buffer_bytes,
-    register_for_input,
-    reset_on_close,
-    unread_bytes,
-)
+from tulipnotch.sidecar.sockets import borrow_socket, reset_on_close
 
 # Reading from the client pauses while this much of a streamed body waits to be written to the server.
 _MAX_PENDING_BODY_BYTES = 32 << 10
@@ -52,21 +42,18 @@
 
     __slots__ = (
         "_accept_delay_s",
-        "_backpressure",
         "_classes",
         "_close_reason",
         "_counted_output",
-        "_input_poll",
+        "_input",
         "_is_writing_paused",
         "_owner",
-        "_progress",
         "_reader",
         "_request",
         "_request_number",
         "_stream",
         "_transport",
         "buffered_bytes",
-        "is_reading_paused",
         "state",
         "state_since",
     )
@@ -83,16 +70,13 @@
         self._accept_delay_s = accept_delay_s
         self._reader = RequestReader()
         self._transport: asyncio.Transport | None = None
-        self._input_poll = select.poll()
+        self._input = ClientInput()
         self._request: Request | None = None  # the request that is being responded to
         self._classes: Mapping[str, ServiceClass] = {}  # those current at the first byte of the request
-        self._backpressure: UploadBackpressure | None = None  # set while the body of a request is streamed
         self._request_number: int | None = None  # the handler's number, while the response is pending
         self._stream: ResponseStream | None = None  # set while a response is streamed
         self._is_writing_paused = False
         self._counted_output = CountedBytes(owner.response_budget)
-        self.is_reading_paused = False
-        self._progress = TransferProgress()
         self._close_reason: CloseReason | None = None  # None: the sidecar has not closed the connection
         self.state = ConnectionState.CONNECTED
         # When the state was entered, in the event loop's time (s).  While the first request is read, this is
@@ -113,7 +97,12 @@
     @property
     def has_unread_input(self) -> bool:
         """Whether the socket has unread bytes, which may complete a request, or an unread end of stream."""
-        return has_unread_input(self._input_poll)
+        return self._input.has_unread_bytes
+
+    @property
+    def is_reading_paused(self) -> bool:
+        """Whether the client is not read for now."""
+        return self._input.is_paused
 
     @property
     def has_unsent_output(self) -> bool:
@@ -132,36 +121,16 @@
 
     def is_request_stalled(self, now: float, limits: ClientLimits) -> bool:
         """Returns whether the client has stopped sending its request, or sends it too slowly."""
-        if self.is_reading_paused:  # the server, not the client, is the slow side
-            self._progress.restart(now)
-            return False
-        return self._progress.is_stalled(now, limits)
+        return self._input.is_request_stalled(now, limits)
 
     @property
     def upload_wait_s(self) -> float:
         """How long, at most, the last byte of the request's body has been written and unread (s)."""
-        backpressure = self._backpressure
-        return 0.0 if backpressure is None else backpressure.waited_s(asyncio.get_running_loop().time())
+        return self._input.upload_wait_s
 
     def is_upload_timed_out(self, now: float, limits: ClientLimits) -> bool:
         """Returns whether the client's timeout may pass before the next check, with its body not read."""
-        backpressure = self._backpressure
-        if backpressure is None or not backpressure.is_pending:
-            return False
-        if self._is_client_sending():
-            backpressure.last_byte_not_sent(now)
-        return backpressure.is_timed_out(now + limits.sweep_s)
-
-    def _is_client_sending(self) -> bool:
-        """Returns whether the client has certainly not written the last byte of its body.
-
-        What it has written and the sidecar has not read is in buffers of the system, whose size is limited.
-        """
-        request, transport, max_unsent = self._request, self._open_transport, max_send_buffer_bytes()
-        if request is None or request.length is None or transport is None or max_unsent is None:
-            return False
-        unread = unread_bytes(transport)
-        return unread is not None and request.length - request.body.size - unread > max_unsent
+        return self._input.is_upload_timed_out(now, limits)
 
     def time_out_upload(self) -> None:
         """Ends the request: its client may have waited for its whole timeout, with its body not read."""
@@ -170,7 +139,7 @@
 
     def is_response_stalled(self, now: float, limits: ClientLimits) -> bool:
         """Returns whether the client has stopped reading its response."""
-        return self.has_unsent_output and now - self._progress.last_progress_at >= limits.reading_s
+        return self.has_unsent_output and now - self._input.progress.last_progress_at >= limits.reading_s
 
     # Responses, written by the request handler
 
@@ -180,7 +149,7 @@
         Called before work is done for the client: the event loop may not have reported the end of the stream
         yet, and does not report it at all while reading is paused.
         """
-        if self._request_number is not None and is_peer_closed(self._input_poll):
+        if self._request_number is not None and self._input.is_client_closed:
             self._notify_client_disconnected()
             self.abort(CloseReason.CLIENT_DISCONNECTED)
 
@@ -232,7 +201,7 @@
         """Writes a part of the body of a streamed response."""
         transport = self._open_transport
         if transport is not None:
-            self._progress.last_progress_at = asyncio.get_running_loop().time()
+            self._input.progress.last_progress_at = asyncio.get_running_loop().time()
             transport.write(data if self._stream is None else self._stream.encode(data))
             self._count_output()
 
@@ -270,7 +239,8 @@
 
     def _finish_exchange(self, *, closing: bool) -> None:
         """Proceeds to the next request, or closes the connection, after a response was written."""
-        self._request = self._backpressure = None
+        self._request = None
+        self._input.upload_ended()
         if closing:
             self.close(CloseReason.RESPONDED)
             return
@@ -280,7 +250,7 @@
             self._owner.connection_table.add_buffered_bytes(self, self._reader.pending_input_bytes)
             asyncio.get_running_loop().call_soon(self._process_input)
         elif not self._is_writing_paused:
-            self._resume_reading()
+            self._input.resume()
 
     # Closing the connection
 
@@ -304,7 +274,7 @@
             with borrow_socket(transport) as plain_socket:
                 plain_socket.shutdown(socket.SHUT_WR)
         transport.write_eof()
-        self._resume_reading()
+        self._input.resume()
 
     def abort(self, reason: CloseReason) -> None:
         """Closes the connection at once and discards unsent data.
@@ -356,7 +326,7 @@
         # uvloop's transports do not derive from those of asyncio, so an isinstance check would fail.
         self._transport = cast("asyncio.Transport", transport)
         self._transport.set_write_buffer_limits(high=self._owner.response_budget.max_uncounted_bytes)
-        register_for_input(self._input_poll, transport)
+        self._input.connect(self._transport)
         self._owner.connection_table.add(self)
 
     def get_buffer(self, _sizehint: int) -> memoryview:
@@ -373,18 +343,16 @@
         if self.state in (ConnectionState.IDLE, ConnectionState.CONNECTED):
             self._set_state(ConnectionState.READING)
         now = asyncio.get_running_loop().time()
-        self._progress.record_received(now, nbytes)
+        self._input.progress.record_received(now, nbytes)
         reader = self._reader
         if not reader.has_pending_input:
             self._classes = self._owner.classes
         had_head = reader.has_head
         retained_bytes = reader.feed(bytes(self._owner.read_buffer[:nbytes]))
         if reader.has_head and not had_head:
-            self._progress.start_window(now)
+            self._input.progress.start_window(now)
         if self.state is ConnectionState.STREAMING_BODY:
-            backpressure = self._backpressure
-            if backpressure is not None and backpressure.is_pending and not self.has_unread_input:
-                backpressure.input_drained()
+            self._input.upload_received()
             # Must precede the counting of the bytes, which may abandon a request in this state: a request
             # must not be abandoned once its last byte was forwarded.
             self._process_streamed_body()
@@ -396,22 +364,22 @@
         if self._request_number is None or self.state is ConnectionState.STREAMING_BODY:
             return
         if reader.has_pending_input:
-            self._pause_reading()  # until the response to the current request is written
+            self._input.pause()  # until the response to the current request is written
 
     def pause_writing(self) -> None:
         """Pauses the source of a streamed response, or else further requests: the client reads too slowly."""
         self._is_writing_paused = True
-        self._progress.last_progress_at = asyncio.get_running_loop().time()
+        self._input.progress.last_progress_at = asyncio.get_running_loop().time()
         if self._stream is not None:
             self._stream.producer.pause()
         elif self._request_number is None and self.state is not ConnectionState.CLOSING:
-            self._pause_reading()
+            self._input.pause()
 
     def resume_writing(self) -> None:
         """Resumes the source of the response and the processing of input, as the client has read data."""
         self._is_writing_paused = False
         self._count_output()
-        self._progress.last_progress_at = asyncio.get_running_loop().time()
+        self._input.progress.last_progress_at = asyncio.get_running_loop().time()
         if self._stream is not None:
             self._stream.producer.resume()
         self._process_input()
@@ -446,7 +414,7 @@
                 if self._reader.awaits_continue:
                     self._reader.awaits_continue = False
                     transport.write(CONTINUE_RESPONSE)
-                self._resume_reading()
+                self._input.resume()
                 return
 
     def _dispatch_request(self, request: Request) -> None:
@@ -457,7 +425,7 @@
             lifecycle = self._owner.lifecycle
             self.send_response(200 if lifecycle.is_ready else 503, [], f"{lifecycle.phase.value}\n".encode())
             return
-        if is_peer_closed(self._input_poll):
+        if self._input.is_client_closed:
             # The client has disconnected without waiting for the response.
             self.abort(CloseReason.CLIENT_DISCONNECTED)
             return
@@ -466,8 +434,8 @@
             self._deduct_accept_delay(incoming, is_complete=is_complete)
             self._request_number = self._owner.handler.request_received(self, incoming)
             if self._request_number is not None and not request.body.is_complete:
-                request.body.on_consumed = self._resume_reading
-                self._backpressure = UploadBackpressure(incoming.remaining_us / 1e6)
+                request.body.on_consumed = self._input.resume
+                self._input.upload_started(request, incoming.remaining_us / 1e6)
                 self._process_streamed_body()
         except BadRequestError as error:
             self.reject(error.status, error.text)
@@ -496,18 +464,4 @@
         elif request.body.is_complete:
             self._set_state(ConnectionState.AWAITING_RESPONSE)
         elif request.body.pending_bytes >= _MAX_PENDING_BODY_BYTES:
-            if self._backpressure is not None:
-                self._backpressure.reading_paused(asyncio.get_running_loop().time())
-            self._pause_reading()
-
-    def _pause_reading(self) -> None:
-        self.is_reading_paused = True
-        if self._transport is not None and not self._transport.is_closing():
-            self._transport.pause_reading()
-
-    def _resume_reading(self) -> None:
-        if self.is_reading_paused:
-            self.is_reading_paused = False
-            self._progress.restart(asyncio.get_running_loop().time())
-        if self._transport is not None and not self._transport.is_closing():
-            self._transport.resume_reading()
+            self._input.pause_upload()
