--- a/tulipnotch/load_balancing/balancer.py
+++ b/tulipnotch/load_balancing/balancer.py
@@ -277,8 +277,7 @@
         is_overload_retry = event.outcome is Outcome.OVERLOADED
         request.failed_endpoints.append(attempt.endpoint)
         request.overloaded_responses += is_overload_retry
-        is_timed_out = self._context.now >= request.respond_by
-        if is_timed_out and not request.has_pending_attempt:
+        if request.body_incomplete and self._context.now >= request.respond_by:
             self._terminate_request(request, TerminationReason.DEADLINE)
         elif event.is_retryable and retries.may_retry(request, is_overload_retry=is_overload_retry):
             if not is_overload_retry:
