The limit of a request that is not sent is worked out in one place

WriteGate._timer_fired asked the kernel and the retry rules, and restart_timer then asked both again, behind a nested branch. _limit says by when a request must be written or sent; both use it. The outcomes are the same: not sent, not connected, timed out, cancelled. ClientInput looks at its transport in one place, and two test servers share the listener with a small buffer.

--- a/tests/large_bodies.py
+++ b/tests/large_bodies.py
@@ -4,10 +4,9 @@
 
 import asyncio
 import hashlib
-import socket
 from collections.abc import AsyncIterator
 
-from loopback import HOST, OK_RESPONSE, ScriptedServer, read_head
+from loopback import OK_RESPONSE, ScriptedServer, listen, read_head
 
 
 def pseudorandom_bytes(size: int) -> bytes:
@@ -37,9 +36,7 @@
 
     async def start(self, port: int = 0) -> ScriptedServer:
         """Listens on this port, or on a free port for 0."""
-        listener = socket.create_server((HOST, port))
-        if self._receive_buffer_bytes is not None:
-            listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, self._receive_buffer_bytes)
+        listener = listen(port, self._receive_buffer_bytes)
         self._server = await asyncio.start_server(self._serve, sock=listener)
         return self
 
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -88,6 +88,17 @@
     return head[0], {name.lower(): value.strip() for name, _, value in pairs}
 
 
+def listen(port: int = 0, receive_buffer_bytes: int | None = None) -> socket.socket:
+    """Listens on this port, or on a free one for 0.
+
+    The system holds about `receive_buffer_bytes` of what each connection has not read; None: as it chooses.
+    """
+    listener = socket.create_server((HOST, port))
+    if receive_buffer_bytes is not None:
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer_bytes)
+    return listener
+
+
 Script = Callable[[ReceivedRequest], Awaitable[bytes | None]]
 
 
--- a/tests/sidecar/upstream/test_recalled_requests.py
+++ b/tests/sidecar/upstream/test_recalled_requests.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import json
-import socket
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager, suppress
 from dataclasses import dataclass
@@ -15,7 +14,6 @@
 from barriers import SlowReadingServer, server_entry
 from loopback import (
     ERROR_RESPONSE,
-    HOST,
     OK_RESPONSE,
     SERVICE_CLASSES,
     Client,
@@ -25,6 +23,7 @@
     ScriptedServer,
     blocking_script,
     http_request,
+    listen,
     read_head,
     run_async,
     within_timeout,
@@ -47,8 +46,7 @@
         self._body_allowed = body_allowed
 
     async def start(self, port: int = 0) -> ScriptedServer:
-        listener = socket.create_server((HOST, port))
-        listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4_096)
+        listener = listen(port, receive_buffer_bytes=4_096)
         self._server = await asyncio.start_server(self._serve, sock=listener, limit=1_024)
         return self
 
--- a/tulipnotch/sidecar/downstream/client_input.py
+++ b/tulipnotch/sidecar/downstream/client_input.py
@@ -51,16 +51,21 @@
     def pause(self) -> None:
         """Stops reading until `resume`."""
         self.is_paused = True
-        if self._transport is not None and not self._transport.is_closing():
-            self._transport.pause_reading()
+        if (transport := self._open_transport) is not None:
+            transport.pause_reading()
 
     def resume(self) -> None:
         """Continues reading; the time of the pause is not the client's."""
         if self.is_paused:
             self.is_paused = False
             self.progress.restart(asyncio.get_running_loop().time())
-        if self._transport is not None and not self._transport.is_closing():
-            self._transport.resume_reading()
+        if (transport := self._open_transport) is not None:
+            transport.resume_reading()
+
+    @property
+    def _open_transport(self) -> asyncio.Transport | None:
+        transport = self._transport
+        return None if transport is None or transport.is_closing() else transport
 
     def is_request_stalled(self, now: float, limits: ClientLimits) -> bool:
         """Returns whether the client has stopped sending its request, or sends it too slowly."""
@@ -112,10 +117,8 @@
 
         What it has written and the sidecar has not read is in buffers of the system, whose size is limited.
         """
-        request, transport, max_unsent = self._request, self._transport, max_send_buffer_bytes()
-        if request is None or request.length is None or max_unsent is None:
-            return False
-        if transport is None or transport.is_closing():
+        request, transport, max_unsent = self._request, self._open_transport, max_send_buffer_bytes()
+        if request is None or request.length is None or transport is None or max_unsent is None:
             return False
         unread = unread_bytes(transport)
         return unread is not None and request.length - request.body.size - unread > max_unsent
--- a/tulipnotch/sidecar/upstream/write_gate.py
+++ b/tulipnotch/sidecar/upstream/write_gate.py
@@ -68,12 +68,14 @@
 
     def restart_timer(self, request: UpstreamRequest) -> None:
         """Restarts the request's timer for its deadline or, while it is not sent, for an earlier limit."""
+        self._start_timer(request, self._limit(request))
+
+    @staticmethod
+    def _limit(request: UpstreamRequest) -> int:
+        """Returns the clock time by which the request must be written or, once it is, sent; NEVER: none."""
         if request.is_unwritten:
-            self._start_timer(request, request.observer.write_deadline())
-        elif request.has_unsent_bytes:
-            self._start_timer(request, request.observer.send_deadline())
-        else:
-            self._start_timer(request, NEVER)
+            return request.observer.write_deadline()
+        return request.observer.send_deadline() if request.has_unsent_bytes else NEVER
 
     def _start_timer(self, request: UpstreamRequest, limit: int) -> None:
         """Starts the request's timer for its deadline or an earlier limit."""
@@ -85,21 +87,18 @@
             request.timer = asyncio.get_running_loop().call_later(delay_s, self._timer_fired, request)
 
     def _timer_fired(self, request: UpstreamRequest) -> None:
-        """Ends the request if its deadline has passed, or its write deadline while it is unwritten."""
+        """Ends the request if its deadline has passed, or its limit while it is not sent."""
         now = self._clock.now()
-        outcome = Outcome.TIMED_OUT
-        if request.is_unwritten:
+        limit = self._limit(request)
+        if now < min(request.deadline, limit):
+            self._start_timer(request, limit)  # it was written or sent in time, or its limit has changed
+        elif request.is_unwritten:
             # A passed write deadline is no evidence of a fault of the server.
-            is_past_write_deadline = now >= request.observer.write_deadline()
-            outcome = Outcome.NOT_SENT if is_past_write_deadline else Outcome.CONNECT_FAILED
-        if outcome is not Outcome.NOT_SENT and now < request.deadline:
-            if request.has_unsent_bytes and now >= request.observer.send_deadline():
-                # Its server could execute it from now on only when it would take effect a second time.
-                outcome = Outcome.CANCELLED
-            else:
-                self.restart_timer(request)  # it was sent in time, or its limit has changed
-                return
-        self._close_and_end(request, outcome)
+            self._close_and_end(request, Outcome.NOT_SENT if now >= limit else Outcome.CONNECT_FAILED)
+        else:
+            # Past its limit, its server could execute it only when it would take effect a second time.
+            is_past_deadline = now >= request.deadline
+            self._close_and_end(request, Outcome.TIMED_OUT if is_past_deadline else Outcome.CANCELLED)
 
     def time_out_request(self, request: UpstreamRequest) -> None:
         """Ends a request whose client has no time left, as if its deadline had passed."""
