A response is passed on before its deadline also where the timer for it fires early

Seen: test_response_that_may_be_long_begins_in_its_clients_time failed once in a run of the suite, with 504 where the beginning of a response had to be passed on. Callers saw a sound response cut off.

Cause: event loop timers have whole milliseconds and fire up to half a millisecond early. The gate then found that it was too early to pass the response on, set its timer anew and read the clock a second time for that. Where 20 ms before the deadline lay between the two readings, the timer was set for the deadline itself. A trace of six failures had that order in each: fired 20.04 to 20.07 ms before the deadline, and nothing more until the deadline.

Fix: the clock is read once, and both decisions use that reading.

--- a/tulipnotch/sidecar/upstream/write_gate.py
+++ b/tulipnotch/sidecar/upstream/write_gate.py
@@ -71,7 +71,7 @@
 
     def restart_timer(self, request: UpstreamRequest) -> None:
         """Restarts the request's timer for its deadline or, while it is not sent, for an earlier limit."""
-        self._start_timer(request, self._limit(request))
+        self._start_timer(request, self._limit(request), self._clock.now())
 
     @staticmethod
     def _limit(request: UpstreamRequest) -> int:
@@ -80,19 +80,24 @@
             return request.observer.write_deadline()
         return request.observer.send_deadline() if request.has_unsent_bytes else NEVER
 
-    def _start_timer(self, request: UpstreamRequest, limit: int) -> None:
+    def _start_timer(self, request: UpstreamRequest, limit: int, now: int) -> None:
         """Starts the request's timer for its deadline or an earlier limit."""
         if request.timer is not None:
             request.timer.cancel()
-        due = min(self._next_deadline(request), limit)
+        due = min(self._next_deadline(request, now), limit)
         if due < NEVER:
-            delay_s = max(due - self._clock.now(), _MIN_TIMER_US) / 1e6
+            delay_s = max(due - now, _MIN_TIMER_US) / 1e6
             request.timer = asyncio.get_running_loop().call_later(delay_s, self._timer_fired, request)
 
-    def _next_deadline(self, request: UpstreamRequest) -> int:
-        """Returns when its response is to be passed on or, after that, the request's deadline."""
+    @staticmethod
+    def _next_deadline(request: UpstreamRequest, now: int) -> int:
+        """Returns when its response is to be passed on or, after that, the request's deadline.
+
+        `now` is the time by which the caller found that neither has come: by a later one, a response that was
+        not passed on yet would never be.
+        """
         pass_on_at = request.deadline - _PASS_ON_MARGIN_US
-        is_next = request.deadline < NEVER and self._clock.now() < pass_on_at
+        is_next = request.deadline < NEVER and now < pass_on_at
         return pass_on_at if is_next else request.deadline
 
     def _timer_fired(self, request: UpstreamRequest) -> None:
@@ -102,7 +107,7 @@
             return
         limit = self._limit(request)
         if now < min(request.deadline, limit):
-            self._start_timer(request, limit)  # it was written or sent in time, or its limit has changed
+            self._start_timer(request, limit, now)  # it was written or sent in time, or its limit has changed
         elif request.is_unwritten:
             # A passed write deadline is no evidence of a fault of the server.
             self._close_and_end(request, Outcome.NOT_SENT if now >= limit else Outcome.CONNECT_FAILED)
