The processes of an upgrade share the ids of their requests

Cause: the ids with a pending response, and those that may have been executed, were known to one process only, though both count as one sidecar.

It outlives each process and needs no answer of one that hangs. A Unix socket passes it on; its address follows from the listening socket, which is also the proof of each side. A new process whose predecessor does not answer rejects what must not be executed twice, for 5 s at most.

The pinned lists of metrics have one more; the list of imported modules of test_deployment_names.py names the package that is imported with an inherited socket only, so that it still covers every file of node.

--- a/tests/external_names/test_control_names.py
+++ b/tests/external_names/test_control_names.py
@@ -20,6 +20,7 @@
 app.downstream_requests.lodge.failed
 app.upstream_requests app.upstream_requests_withheld app.upstream_requests_recalled
 app.responses_stalled
+app.request_ids_unknown
 app.config_reloads app.config_reload_errors
 app.client_closes.client_left app.client_closes.answered app.client_closes.idle app.client_closes.silent
 app.client_closes.rejected app.client_closes.unread app.client_closes.answer_broken
--- a/tests/external_names/test_deployment_names.py
+++ b/tests/external_names/test_deployment_names.py
@@ -18,9 +18,10 @@
 # Before its handler is installed, SIGHUP would end the process; the shell's setting survives `exec`.
 IGNORE_SIGHUP = "trap '' HUP; "
 # Prints the modules that `run` and `sim` import, without those imported only if there is an operator file.
+# Those of `handover` are imported only if a listening socket was inherited.
 LIST_LOADED_MODULES_SCRIPT = """
 import json, runpy, sys
-import {run}.program, {sim}
+import {run}.program, {run}.handover.handover, {sim}
 print(json.dumps([each for each in sys.modules if each.split(".")[0] == {package!r}]))
 """
 
--- a/tests/sidecar/control/test_telemetry.py
+++ b/tests/sidecar/control/test_telemetry.py
@@ -74,7 +74,8 @@
     assert "app.upstream_requests_withheld=0" in lines
     assert "app.upstream_requests_recalled=0" in lines
     assert "app.responses_stalled=0" in lines
-    assert len(lines) == 3 * 3 + 7 + 36
+    assert "app.request_ids_unknown=0" in lines
+    assert len(lines) == 3 * 3 + 8 + 36
 
 
 def test_telemetry_has_a_metric_name_for_every_member_of_the_counted_enums() -> None:
@@ -85,15 +86,16 @@
 
 def test_telemetry_keeps_the_metric_names_that_dashboards_use_in_their_order() -> None:
     lines = Telemetry([]).render_metrics({})
-    assert lines[:6] == [
+    assert lines[:7] == [
         "app.upstream_requests=0",
         "app.upstream_requests_withheld=0",
         "app.upstream_requests_recalled=0",
         "app.responses_stalled=0",
+        "app.request_ids_unknown=0",
         "app.config_reloads=0",
         "app.config_reload_errors=0",
     ]
-    assert lines[6:] == [
+    assert lines[7:] == [
         f"app.{group}.{reason}=0" for group, reasons in COUNTERS_BY_REASON.items() for reason in reasons
     ]
 
@@ -111,6 +113,7 @@
     telemetry.attempt_withheld()
     telemetry.attempt_recalled()
     telemetry.response_stalled()
+    telemetry.request_id_unknown()
     telemetry.configuration_reloaded()
     telemetry.configuration_rejected()
     counted = {each.partition("=")[0] for each in telemetry.render_metrics({}) if each.endswith("=1")}
@@ -126,6 +129,7 @@
         "app.upstream_requests_withheld",
         "app.upstream_requests_recalled",
         "app.responses_stalled",
+        "app.request_ids_unknown",
         "app.config_reloads",
         "app.config_reload_errors",
     }
--- a/tests/soak/clients.py
+++ b/tests/soak/clients.py
@@ -10,7 +10,7 @@
 from contextlib import suppress
 from dataclasses import dataclass
 
-from soak.records import ClientAttempt, Idempotency, Records, RequestClass, now
+from soak.records import ClientAttempt, Idempotency, IdReuse, Records, RequestClass, now
 
 _LINGER_ZERO = struct.pack("ii", 1, 0)  # With this SO_LINGER value, closing a socket sends RST.
 _SMALL_BODY_BYTES = 300
@@ -19,6 +19,7 @@
 _MAX_SEND_PAUSE_S = 0.3  # Longest pause of a client that sends a request in two parts.
 _LARGE_BODY_BYTES = 150_000  # Larger than any buffer between client and server.
 _RESPONSE_GRACE_S = 1.0  # Time for which a client waits beyond the timeout of its request.
+_MAX_REUSE_DELAY_S = 0.1  # Longest time after which an id is used again.
 _CROWD_INTERVAL_S = 1.0  # Mean time between two requests of one client of a crowd.
 _FLOOD_HEAD = b"POST /api/flood HTTP/1.1\r\nHost: origin.svc\r\n"
 # What flooding clients send: a prefix, what follows it repeatedly, and how often.
@@ -117,17 +118,21 @@
         connection = await self._acquire_connection(is_new=is_retry)
         if connection is None:
             return False
-        return await self._send_on(connection, request_id, request_class, is_retry=is_retry)
+        attempt = self._new_attempt(connection, request_id, request_class)
+        return await self._send_on(connection, attempt, is_retry=is_retry)
 
-    async def _send_on(
-        self, connection: _Connection, request_id: str, request_class: RequestClass, *, is_retry: bool
-    ) -> bool:
+    def _new_attempt(
+        self, connection: _Connection, request_id: str, request_class: RequestClass
+    ) -> ClientAttempt:
         timeout_s = request_class.deadline_s * self._rng.uniform(0.4, 1.0)
         attempt = ClientAttempt(
             request_id, request_class, self.sidecar_number, timeout_s, connection.request_count == 0
         )
         connection.request_count += 1
         self._records.client_attempts.append(attempt)
+        return attempt
+
+    async def _send_on(self, connection: _Connection, attempt: ClientAttempt, *, is_retry: bool) -> bool:
         attempt.started_at = now()
         try:
             await self._write_request(connection, attempt)
@@ -161,21 +166,9 @@
         attempt.sent_at = now()
 
     def _encode_request(self, attempt: ClientAttempt) -> bytes:
-        is_idempotent = attempt.request_class.idempotency is Idempotency.IDEMPOTENT
-        body = b"" if is_idempotent else self._sample_body()
-        target = "large" if self._rng.random() < self.behavior.large_response_probability else "small"
-        has_key = attempt.request_class.idempotency is Idempotency.IDEMPOTENT_WITH_KEY
-        headers = {
-            "Host": "origin.svc",
-            "Request-Id": attempt.request_id,
-            "Request-Class": attempt.request_class.name,
-            "Request-Timeout": f"{attempt.timeout_s:.3f}",
-            "Idempotency-Key": attempt.request_id if has_key else "",
-            "Content-Length": "" if is_idempotent else str(len(body)),
-        }
-        method = "GET" if is_idempotent else "POST"
-        lines = "".join(f"{name}: {value}\r\n" for name, value in headers.items() if value)
-        return f"{method} /api/{attempt.request_id}/{target} HTTP/1.1\r\n{lines}\r\n".encode() + body
+        is_large = self._rng.random() < self.behavior.large_response_probability
+        body = b"" if attempt.request_class.idempotency is Idempotency.IDEMPOTENT else self._sample_body()
+        return _encode(attempt, "slow" if attempt.is_slow else "large" if is_large else "small", body)
 
     def _sample_body(self) -> bytes:
         if self._rng.random() < self.behavior.large_body_probability:
@@ -225,6 +218,48 @@
             connection.writer.close()
         attempt.disconnected_at = now()
 
+    async def reuse_ids(self, duration_s: float) -> None:
+        """Sends slow requests, and soon after each another one with its id on a new connection."""
+        ends_at = now() + duration_s
+        reuses = []
+        while now() < ends_at:
+            reuses.append(asyncio.ensure_future(self._reuse_id()))
+            await asyncio.sleep(self._rng.uniform(0.0, _MAX_REUSE_DELAY_S))
+        await asyncio.gather(*reuses)
+
+    async def _reuse_id(self) -> None:
+        connection = await self._acquire_connection(is_new=False)
+        if connection is None:
+            return
+        request_id, request_class = f"{next(_request_numbers):016x}", self._rng.choice(self.classes)
+        original = self._new_attempt(connection, request_id, request_class)
+        original.is_slow = True
+        sending = asyncio.ensure_future(self._send_on(connection, original, is_retry=False))
+        await asyncio.sleep(self._rng.uniform(0.0, _MAX_REUSE_DELAY_S))
+        if self._rng.random() < 0.5 and not sending.done():
+            self._disconnect(connection, original)
+        await self._send_reuse(original)
+        if await sending:
+            await self._send_attempt(request_id, request_class, is_retry=True)
+
+    async def _send_reuse(self, original: ClientAttempt) -> None:
+        reuse = IdReuse(original)
+        connection = await self._connect(is_shared=False)
+        if connection is None:
+            return
+        self._records.id_reuses.append(reuse)
+        try:
+            async with asyncio.timeout(original.timeout_s + _RESPONSE_GRACE_S):
+                connection.writer.write(_encode(original, "reused", b""))
+                reuse.sent_at = now()
+                response_header = await connection.reader.readuntil(b"\r\n\r\n")
+                await self._read_body(connection.reader, response_header)
+                reuse.status = int(response_header.split(b" ", 2)[1])
+        except (OSError, TimeoutError, asyncio.IncompleteReadError):
+            pass
+        reuse.ended_at = now()
+        connection.writer.close()
+
     async def run_crowd(self, count: int, duration_s: float) -> None:
         """Runs clients with a connection each, which they use until the sidecar closes it."""
         ends_at = now() + duration_s
@@ -240,7 +275,8 @@
                 continue
             request_id = f"{next(_request_numbers):016x}"
             request_class = self._rng.choice(self.classes)
-            if await self._send_on(connection, request_id, request_class, is_retry=False):
+            attempt = self._new_attempt(connection, request_id, request_class)
+            if await self._send_on(connection, attempt, is_retry=False):
                 await self._send_attempt(request_id, request_class, is_retry=True)
         if connection is not None:
             connection.writer.close()
@@ -286,6 +322,22 @@
             writer.close()
 
 
+def _encode(attempt: ClientAttempt, target: str, body: bytes) -> bytes:
+    is_idempotent = attempt.request_class.idempotency is Idempotency.IDEMPOTENT
+    has_key = attempt.request_class.idempotency is Idempotency.IDEMPOTENT_WITH_KEY
+    headers = {
+        "Host": "origin.svc",
+        "Request-Id": attempt.request_id,
+        "Request-Class": attempt.request_class.name,
+        "Request-Timeout": f"{attempt.timeout_s:.3f}",
+        "Idempotency-Key": attempt.request_id if has_key else "",
+        "Content-Length": "" if is_idempotent else str(len(body)),
+    }
+    method = "GET" if is_idempotent else "POST"
+    lines = "".join(f"{name}: {value}\r\n" for name, value in headers.items() if value)
+    return f"{method} /api/{attempt.request_id}/{target} HTTP/1.1\r\n{lines}\r\n".encode() + body
+
+
 async def _discard(reader: asyncio.StreamReader) -> None:
     with suppress(OSError):
         while await reader.read(_READ_BYTES):
--- a/tests/soak/fault_proxy.py
+++ b/tests/soak/fault_proxy.py
@@ -188,6 +188,11 @@
         self._is_stalled = self._is_large = False
         self._delayed_data = None
 
+    def on_url(self, url: bytes) -> None:
+        """Records whether the request reuses the id of another one."""
+        assert self._attempt is not None
+        self._attempt.is_id_reused = url.endswith(b"reused")
+
     def on_header(self, name: bytes, value: bytes) -> None:
         """Records the headers that the rules are checked against."""
         assert self._attempt is not None
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -260,6 +260,14 @@
     )
 
 
+async def reuse_ids(fleet: Fleet, rng: random.Random) -> None:
+    """Sends the ids of open requests and of disconnected clients again, in part during an upgrade."""
+    sidecars = fleet.choose_sidecars(rng, 0.5)
+    upgrades = [fleet.upgrade_sidecar(each) for each in sidecars if each.inherits_listener]
+    reuses = [fleet.load_generators[each.number].reuse_ids(_sample_duration_s(rng)) for each in sidecars]
+    await asyncio.gather(*upgrades, *reuses)
+
+
 FAULTS: dict[str, Fault] = {
     fault.__name__: fault
     for fault in (
@@ -283,5 +291,6 @@
         flood_responses,
         delay_bodies,
         flood_requests,
+        reuse_ids,
     )
 }
--- a/tests/soak/history.py
+++ b/tests/soak/history.py
@@ -24,12 +24,14 @@
         self.records = records
         self.client_attempts: dict[str, list[ClientAttempt]] = defaultdict(list)
         self.server_attempts: dict[str, list[ServerAttempt]] = defaultdict(list)
+        self.reused_id_attempts: dict[str, list[ServerAttempt]] = defaultdict(list)
         self._processes: dict[int, list[ProcessRecord]] = defaultdict(list)
         self._withdrawn_at: dict[tuple[int, str], list[float]] = defaultdict(list)
         for attempt in records.client_attempts:
             self.client_attempts[attempt.request_id].append(attempt)
         for server_attempt in records.server_attempts:
-            self.server_attempts[server_attempt.request_id].append(server_attempt)
+            index = self.reused_id_attempts if server_attempt.is_id_reused else self.server_attempts
+            index[server_attempt.request_id].append(server_attempt)
         for process in records.processes:
             self._processes[process.sidecar_number].append(process)
         for withdrawal in records.withdrawals:
--- a/tests/soak/records.py
+++ b/tests/soak/records.py
@@ -72,6 +72,7 @@
     received_id: str = ""  # The request id in a response with status 200.
     has_partial_response: bool = False  # True once the headers of a response were received.
     is_retried: bool = False  # True if the client decided to send the request again on a new connection.
+    is_slow: bool = False  # True if its server takes long to respond.
 
 
 @dataclass(slots=True)
@@ -89,6 +90,17 @@
     ended_at: float = 0.0  # Time of the response, or of the end of the connection.
     is_body_delayed: bool = False  # True if the server wrote the head of its response, and the body later.
     is_body_lost: bool = False  # True if the sidecar had closed the connection before that body was written.
+    is_id_reused: bool = False  # True if it is for an `IdReuse`, not for the request that had the id first.
+
+
+@dataclass(slots=True)
+class IdReuse:
+    """A request with the id of another one that is open, or whose client has just disconnected."""
+
+    original: ClientAttempt
+    sent_at: float = 0.0  # Time at which its last byte was written; 0 if it could not be sent.
+    ended_at: float = 0.0  # Time at which the response was complete or the connection was lost.
+    status: int = 0  # Status of the complete response; 0 if there is none.
 
 
 @dataclass(frozen=True, slots=True)
@@ -164,6 +176,7 @@
 
     client_attempts: list[ClientAttempt] = field(default_factory=list)
     server_attempts: list[ServerAttempt] = field(default_factory=list)
+    id_reuses: list[IdReuse] = field(default_factory=list)
     duplicates: list[DuplicateResponse] = field(default_factory=list)
     processes: list[ProcessRecord] = field(default_factory=list)
     withdrawals: list[Withdrawal] = field(default_factory=list)
--- a/tests/soak/rule_checker.py
+++ b/tests/soak/rule_checker.py
@@ -11,12 +11,22 @@
 from itertools import pairwise
 
 from soak.history import SCHEDULING_DELAY_S, History
-from soak.records import ClientAttempt, Idempotency, ProcessRecord, Records, RequestClass, ServerAttempt
+from soak.records import (
+    ClientAttempt,
+    Idempotency,
+    IdReuse,
+    ProcessRecord,
+    Records,
+    RequestClass,
+    ServerAttempt,
+)
 from soak.sidecars import READY_TIMEOUT_S
 
 _RESPONSE_SLACK_S = 0.5  # A response this late after the timeout is worthless, but violates no rule.
 _CANCELLATION_S = 0.1  # Time allowed between the end of a request and the end of its attempts.
 _TIMEOUT_SLACK_S = 0.15  # An announced timeout may exceed the remaining time by this.
+# An id counts as free this long before its client notices the end of its response.
+_ID_RELEASE_S = 0.1
 _INTERNAL_ERROR_TEXTS = ("internal error", "invariant broken", "Traceback")
 
 
@@ -25,6 +35,7 @@
     """Rules that can be violated; each violation is printed with the value of its rule."""
 
     RESPONSE = "response"  # Each request gets one response, which is its own and in time.
+    ID_REUSE = "id"  # A request with the id of an open one, or of one that may have run, is not served.
     EXECUTION = "execution"  # The request's class limits how often and where it is executed.
     DISCONNECT = "disconnect"  # No attempt begins for a client that has disconnected.
     DEADLINE = "deadline"  # An attempt announces no timeout beyond the remaining time.
@@ -61,6 +72,7 @@
         """Returns all violations, ordered by rule."""
         details_by_rule = {
             Rule.RESPONSE: self._response_violations(),
+            Rule.ID_REUSE: self._id_reuse_violations(),
             Rule.EXECUTION: self._execution_violations(),
             Rule.DISCONNECT: self._disconnect_violations(),
             Rule.DEADLINE: self._deadline_violations(),
@@ -131,6 +143,21 @@
         attempts = self._history.client_attempts[attempt.request_id]
         return is_received and not any(other is not attempt for other in attempts)
 
+    def _id_reuse_violations(self) -> Iterator[str]:
+        for reuse in self._history.records.id_reuses:
+            original = reuse.original
+            if not reuse.sent_at or self._history.is_unserved(original):
+                continue
+            attempts = self._history.server_attempts[original.request_id]
+            reused = self._history.reused_id_attempts[original.request_id]
+            if original.disconnected_at:
+                detail = _check_reuse_after_disconnect(original, attempts, reused)
+            else:
+                detail = _check_reuse_while_open(reuse, attempts, reused)
+            if detail:
+                processes = self._history.describe_processes(original)
+                yield f"{detail}: {reuse} {attempts} {reused} {processes}"
+
     def _execution_violations(self) -> Iterator[str]:
         for request_id, attempts in self._history.client_attempts.items():
             server_attempts = self._history.server_attempts[request_id]
@@ -241,6 +268,35 @@
                     yield f"{name} {detail}: {process.log[-3:]}"
 
 
+def _check_reuse_while_open(
+    reuse: IdReuse, attempts: Sequence[ServerAttempt], reused: Sequence[ServerAttempt]
+) -> str:
+    """Checks the reuse of an id whose request was open: a server had received a part of it."""
+    open_until = reuse.original.ended_at - _ID_RELEASE_S
+    if not any(attempt.first_byte_received_at <= reuse.sent_at for attempt in attempts):
+        return ""
+    if any(attempt.first_byte_received_at < open_until for attempt in reused):
+        return "the id of an open request was used for an attempt"
+    return (
+        "the id of an open request was served" if reuse.status == 200 and reuse.ended_at < open_until else ""
+    )
+
+
+def _check_reuse_after_disconnect(
+    original: ClientAttempt, attempts: Sequence[ServerAttempt], reused: Sequence[ServerAttempt]
+) -> str:
+    """Checks the reuse of the id of a disconnected client, whose request may have run."""
+    request_class = original.request_class
+    is_safe = (
+        request_class.idempotency is Idempotency.IDEMPOTENT or request_class.deduplication_scope == "all"
+    )
+    has_run = any(
+        0.0 < attempt.completed_at <= original.disconnected_at for attempt in attempts if attempt.is_executed
+    )
+    is_rerun = any(attempt.is_executed for attempt in reused)
+    return "executed again after its client disconnected" if has_run and is_rerun and not is_safe else ""
+
+
 def _check_repetition(request_class: RequestClass, executed: Sequence[ServerAttempt]) -> str:
     if request_class.idempotency is Idempotency.NON_IDEMPOTENT and len(executed) > 1:
         return f"non-idempotent request executed {len(executed)} times"
--- a/tests/soak/servers.py
+++ b/tests/soak/servers.py
@@ -18,6 +18,7 @@
 _port_numbers = itertools.count(20_000)
 _LARGE_RESPONSE_BYTES = 200_000
 _SMALL_RESPONSE_BYTES = 100
+_SLOW_SERVICE_TIME_S = 0.5
 
 
 def allocate_port() -> int:
@@ -81,7 +82,7 @@
         self._parser = httptools.HttpRequestParser(self)
         self._transport: asyncio.Transport | None = None
         self._request_id = b""
-        self._wants_large_response = False
+        self._wants_large_response = self._is_slow = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Stores the transport (asyncio.Protocol)."""
@@ -96,8 +97,9 @@
         self._request_id = b""
 
     def on_url(self, url: bytes) -> None:
-        """Handles the target of the request, which selects the size of the response (httptools)."""
+        """Handles the target of the request, which selects the kind of response (httptools)."""
         self._wants_large_response = url.endswith(b"large")
+        self._is_slow = url.endswith(b"slow")
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Handles a header of the request (httptools)."""
@@ -109,6 +111,8 @@
         faults = self._server.faults
         if not faults.hangs:
             service_time_s = self._rng.expovariate(1.0 / faults.mean_service_time_s)
+            if self._is_slow:
+                service_time_s += _SLOW_SERVICE_TIME_S
             size = _LARGE_RESPONSE_BYTES if self._wants_large_response else _SMALL_RESPONSE_BYTES
             asyncio.get_running_loop().call_later(service_time_s, self._respond, self._request_id, size)
 
--- a/tests/soak/test_rule_checker.py
+++ b/tests/soak/test_rule_checker.py
@@ -7,7 +7,16 @@
 import pytest
 
 from soak.fleet import CLASSES
-from soak.records import ClientAttempt, MemoryPeak, ProcessRecord, Records, ServerAttempt, Stall, Withdrawal
+from soak.records import (
+    ClientAttempt,
+    IdReuse,
+    MemoryPeak,
+    ProcessRecord,
+    Records,
+    ServerAttempt,
+    Stall,
+    Withdrawal,
+)
 from soak.rule_checker import Rule, RuleChecker
 
 _LOOK, _AMEND, _STORE, _PAY = CLASSES
@@ -225,3 +234,45 @@
     )
     assert _violated_rules(records, allows_hedging=True) == []
     assert _violated_rules(records, allows_hedging=False) == [Rule.EXECUTION]
+
+
+def _id_reuse(original: ClientAttempt, **fields: Any) -> Records:
+    """Returns the records of a request whose id was used again 0.1 s after it was sent, and answered 409."""
+    reuse = IdReuse(original, sent_at=_SENT_AT + 0.1, ended_at=_SENT_AT + 0.12, status=409)
+    for name, value in fields.items():
+        setattr(reuse, name, value)
+    return Records(client_attempts=[original], server_attempts=[_server_attempt()], id_reuses=[reuse])
+
+
+def _disconnected(request_class: Any) -> ClientAttempt:
+    return _client_attempt(
+        request_class=request_class, status=0, ended_at=0.0, disconnected_at=_SENT_AT + 0.1
+    )
+
+
+_REUSED = _server_attempt(0.11, is_id_reused=True)
+
+
+@pytest.mark.parametrize("request_class", [_LOOK, _AMEND, _PAY])
+def test_rule_checker_finds_reuse_of_the_id_of_an_open_request(request_class: Any) -> None:
+    original = _client_attempt(request_class=request_class, ended_at=_SENT_AT + 0.4)
+    assert _violated_rules(_id_reuse(original)) == []
+    assert _violated_rules(_id_reuse(original, status=200)) == [Rule.ID_REUSE]
+    executed = _id_reuse(original)
+    executed.server_attempts.append(_REUSED)
+    assert _violated_rules(executed) == [Rule.ID_REUSE]
+
+
+def test_rule_checker_accepts_reuse_of_an_id_whose_response_has_ended() -> None:
+    records = _id_reuse(_client_attempt(ended_at=_SENT_AT + 0.1), status=200)
+    records.server_attempts.append(_REUSED)
+    assert _violated_rules(records) == []
+
+
+@pytest.mark.parametrize(("request_class", "rules"), [(_LOOK, []), (_STORE, []), (_PAY, [Rule.ID_REUSE])])
+def test_rule_checker_finds_reuse_of_the_id_of_a_disconnected_client(
+    request_class: Any, rules: list[Rule]
+) -> None:
+    records = _id_reuse(_disconnected(request_class), status=200)
+    records.server_attempts.append(_REUSED)
+    assert _violated_rules(records) == rules
--- a/tulipnotch/sidecar/control/telemetry.py
+++ b/tulipnotch/sidecar/control/telemetry.py
@@ -70,6 +70,7 @@
         self._attempts_withheld = 0
         self._attempts_recalled = 0
         self._responses_stalled = 0
+        self._request_ids_unknown = 0
         self._retries: dict[Outcome | None, int] = {
             None: 0,
             **{outcome: 0 for outcome in OUTCOME_NAMES if outcome not in _FINAL_OUTCOMES},
@@ -113,6 +114,10 @@
         """Counts a response that has stalled and is still waited for."""
         self._responses_stalled += 1
 
+    def request_id_unknown(self) -> None:
+        """Counts a request that was rejected because another process may have used its id."""
+        self._request_ids_unknown += 1
+
     def request_retried(self, after: Outcome | None) -> None:
         """Counts a retry by the outcome of the previous attempt; None if that attempt is still in flight."""
         self._retries[after] += 1
@@ -153,6 +158,7 @@
             "upstream_requests_withheld": self._attempts_withheld,
             "upstream_requests_recalled": self._attempts_recalled,
             "responses_stalled": self._responses_stalled,
+            "request_ids_unknown": self._request_ids_unknown,
             "config_reloads": self._reloads,
             "config_reload_errors": self._reload_errors,
         }
--- a/tulipnotch/sidecar/logs.py
+++ b/tulipnotch/sidecar/logs.py
@@ -64,6 +64,11 @@
     "draining": _info("draining"),
     "drained": _info("drained"),
     "endpoint_list_stale": _warning("no fresh endpoint list within {waited_s:g} s, using the cached one"),
+    "sibling_unresponsive": _warning(
+        "another process of this sidecar does not answer: for {rejected_s:g} s, requests that must not be "
+        "executed twice are rejected"
+    ),
+    "handover_unavailable": _warning("nothing is shared with other processes of this sidecar: {fault}"),
     "discovery_failed": _warning("discovery failed: {fault}; the endpoint list in force stays"),
     "reloaded": _info("reloaded: discovery at {discovery}{waits}"),
     "reload_rejected": _error("reload rejected, the previous configuration stays in force: {fault}"),
--- a/tulipnotch/sidecar/requests/possibly_executed.py
+++ b/tulipnotch/sidecar/requests/possibly_executed.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+from tulipnotch.sidecar.requests.shared_ids import RetainedId
+
 _MAX_IDS = 65_536  # the oldest ids are dropped beyond this; each takes about 100 bytes
 
 
@@ -30,3 +32,11 @@
         """Returns whether a request with this id may have been executed and is still to be rejected."""
         until = self._rejected_until.get(request_id)
         return until is not None and now < until
+
+    def retained(self, now: int) -> list[RetainedId]:
+        """Returns the ids that are rejected at `now`."""
+        return [
+            RetainedId(request_id, until - now)
+            for request_id, until in self._rejected_until.items()
+            if now < until
+        ]
--- a/tulipnotch/sidecar/requests/request_receiver.py
+++ b/tulipnotch/sidecar/requests/request_receiver.py
@@ -17,6 +17,7 @@
 from tulipnotch.sidecar.requests.open_request import OpenRequest, StreamingResponse, WaitingForResponse
 from tulipnotch.sidecar.requests.request_registry import RequestRegistry
 from tulipnotch.sidecar.requests.responses import ResponseSender
+from tulipnotch.sidecar.requests.shared_ids import ClaimResult
 
 
 class RequestReceiver:
@@ -46,18 +47,11 @@
         """
         context = self._context
         registry = self._registry
-        if registry.is_id_in_use(incoming.request_id):
-            # Servers deduplicate requests by id, so an id that is in use is rejected.
-            raise BadRequestError("request-id is that of an open request", 409)
-        max_open_requests = context.settings.limits.max_open_requests
-        if max_open_requests is not None and registry.pending_response_count >= max_open_requests:
-            context.telemetry.request_ended(incoming.class_name, RequestResult.REJECTED)
-            context.telemetry.request_rejected(None)
-            connection.send_response(503, [], b"")
-            return None
         now = context.clock.now()
-        if registry.may_have_executed(incoming.request_id, now):
-            raise BadRequestError("request-id is that of a request that may have run", 409)
+        result = registry.claim_id(incoming, context.settings.limits.max_open_requests, now)
+        if result is not ClaimResult.GRANTED:
+            self._reject_claim(connection, incoming, result)
+            return None
         incoming.remaining_us = registry.limit_remaining_time(incoming.remaining_us, now)
         request = registry.add(connection, incoming)
         is_body_incomplete = not incoming.body.is_complete
@@ -80,6 +74,30 @@
         )
         return request.number if request.is_waiting else None
 
+    def _reject_claim(
+        self, connection: DownstreamConnection, incoming: IncomingRequest, result: ClaimResult
+    ) -> None:
+        """Responds to a request whose id was not granted.
+
+        Raises:
+            BadRequestError: The id is that of another request.
+        """
+        telemetry = self._context.telemetry
+        if result is ClaimResult.IN_USE:
+            # Servers deduplicate requests by id, so an id that is in use is rejected.
+            raise BadRequestError("request-id is that of an open request", 409)
+        if result is ClaimResult.POSSIBLY_EXECUTED:
+            raise BadRequestError("request-id is that of a request that may have run", 409)
+        if result is ClaimResult.LIMIT_REACHED:
+            telemetry.request_ended(incoming.class_name, RequestResult.REJECTED)
+            telemetry.request_rejected(None)
+            connection.send_response(503, [], b"")
+            return
+        # Not 503, which would promise that the request was not executed under this id.
+        telemetry.request_ended(incoming.class_name, RequestResult.FAILED)
+        telemetry.request_id_unknown()
+        connection.send_response(409, [], b"request-id may be that of a request that may have run")
+
     def _body_completed(self, request: OpenRequest) -> None:
         """Starts the request's timeout, now that the last byte of its body was received.
 
--- a/tulipnotch/sidecar/sidecar.py
+++ b/tulipnotch/sidecar/sidecar.py
@@ -2,18 +2,13 @@
 
 from __future__ import annotations
 
-import asyncio
 import socket
 from collections.abc import Mapping
 from dataclasses import replace
+from typing import TYPE_CHECKING
 
 from tulipnotch.load_balancing import Balancer, Settings
-from tulipnotch.load_balancing.events import (
-    EndpointsUpdated,
-    EndpointUpdateKind,
-    PeerMessageReceived,
-    SettingsChanged,
-)
+from tulipnotch.load_balancing.events import EndpointUpdateKind, PeerMessageReceived, SettingsChanged
 from tulipnotch.load_balancing.settings import DiscoveryMode
 from tulipnotch.sidecar.action_executor import ActionExecutor, ActionTargets
 from tulipnotch.sidecar.clock import Clock
@@ -28,10 +23,11 @@
     limit_control_connections,
 )
 from tulipnotch.sidecar.discovery.client import DiscoveryClient
-from tulipnotch.sidecar.discovery.endpoint_list_codec import DiscoveryResponse, EndpointListLimits
+from tulipnotch.sidecar.discovery.endpoint_list_codec import EndpointListLimits
 from tulipnotch.sidecar.discovery.peers import PeerMessenger
 from tulipnotch.sidecar.downstream.listener import bind_with_retry
 from tulipnotch.sidecar.downstream.server import DownstreamServer
+from tulipnotch.sidecar.endpoint_updates import EndpointUpdateForwarder
 from tulipnotch.sidecar.event_loop_monitor import EventLoopMonitor
 from tulipnotch.sidecar.event_queue import EventQueue
 from tulipnotch.sidecar.operator_file import OperatorOptions
@@ -49,6 +45,9 @@
 from tulipnotch.sidecar.startup import Startup
 from tulipnotch.sidecar.upstream.pool import UpstreamPool
 
+if TYPE_CHECKING:
+    from tulipnotch.sidecar.handover.handover import Handover
+
 # Changes that take effect only after a restart: fields of `Config`, and fields of its settings, each with the
 # key of the configuration file.
 _RESTART_ONLY_FIELDS = ("name", "listen", "control", "peer_listen", "seed", "memory_mb")
@@ -100,7 +99,7 @@
 
     def _create_discovery(self) -> None:
         config = self.config
-        self._endpoint_updates = _EndpointUpdateForwarder(self._context, self._events)
+        self._endpoint_updates = EndpointUpdateForwarder(self._context, self._events)
         self._discovery = DiscoveryClient(
             config.discovery,
             config.settings,
@@ -153,7 +152,8 @@
         self._shutdown = Shutdown(
             self._context, self.downstream, self._budget, self._registry, self._responses
         )
-        self._has_inherited_listener = False  # if so, other processes have the listening socket open too
+        # Set if this process has inherited its listening socket, which other processes have open too.
+        self._handover: Handover | None = None
 
     async def start(self, inherited: socket.socket | None = None) -> None:
         """Starts with the cached endpoint list, and returns once clients can be served.
@@ -165,7 +165,6 @@
         Raises:
             OSError: An address cannot be bound.
         """
-        self._has_inherited_listener = inherited is not None
         reserved = await bind_with_retry(self.config.listen) if inherited is None else None
         if self._context.settings.limits.may_send_peer_messages and self.config.peer_listen is not None:
             await self._peers.listen(self.config.peer_listen)
@@ -173,7 +172,9 @@
         self._events.post(self.config.known.to_event(EndpointUpdateKind.CACHED))
         self._discovery.start()
         if inherited is not None:
-            await self._startup.take_over(inherited)
+            self._handover = self._create_handover(inherited)
+            self._handover.start()
+            await self._startup.take_over(inherited, self._handover)
         elif reserved is not None:
             await self._startup.listen(reserved, self._context.settings.discovery_mode)
             if not self.config.known.endpoints:
@@ -185,10 +186,15 @@
         if self._level_monitor is not None:
             self._level_monitor.start(self.lifecycle)
 
+    def _create_handover(self, inherited: socket.socket) -> Handover:
+        from tulipnotch.sidecar.handover.handover import Handover  # only an inherited listener needs it
+
+        return Handover(inherited.dup(), self._context, self._registry)
+
     def _check_readiness_invariant(self) -> None:
         """Checks that this process has waited for discovery, or that the cached list is sufficient."""
         needs_fresh_list = (
-            self._has_inherited_listener or self._context.settings.discovery_mode is DiscoveryMode.PUSHED
+            self._handover is not None or self._context.settings.discovery_mode is DiscoveryMode.PUSHED
         )
         is_cache_sufficient = bool(self.config.known.endpoints) and not needs_fresh_list
         self._context.invariants.check(
@@ -253,11 +259,13 @@
 
     async def shut_down(self) -> None:
         """Responds to all requests that were read or still arrive, then closes everything."""
-        await self._shutdown.run(hands_over_listener=self._has_inherited_listener)
+        await self._shutdown.run(hands_over_listener=self._handover is not None)
         self.close()
 
     def close(self) -> None:
         """Closes all connections and listeners at once."""
+        if self._handover is not None:
+            self._handover.close()
         self._discovery.close()
         self._peers.close()
         self._upstream.close()
@@ -286,23 +294,3 @@
         invariants=invariants,
         trace=trace,
     )
-
-
-class _EndpointUpdateForwarder:
-    """Forwards what discovery reports to the upstream pool and to the balancer."""
-
-    def __init__(self, context: SidecarContext, events: EventQueue) -> None:
-        self._context = context
-        self._events = events
-        self.received = asyncio.Event()  # set when discovery has sent an endpoint list
-
-    def endpoints_received(self, response: DiscoveryResponse) -> None:
-        self.received.set()
-        self._context.upstream.endpoints_updated(response)
-        self._events.post(response.to_event())
-
-    def call_failed(self) -> None:
-        self._events.post(EndpointsUpdated(EndpointUpdateKind.FAILED))
-
-    def fault_changed(self, fault: str) -> None:
-        self._context.log("discovery_failed", fault=fault)
--- a/tulipnotch/sidecar/startup.py
+++ b/tulipnotch/sidecar/startup.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import socket
+from typing import Protocol
 
 from tulipnotch.load_balancing.settings import DiscoveryMode
 from tulipnotch.sidecar.control.lifecycle import Phase
@@ -19,6 +20,19 @@
 _TAKEOVER_OVERLAP_S = 5.0  # time after a takeover by which the previous process has ended
 
 
+class Siblings(Protocol):
+    """The other processes of this sidecar."""
+
+    @property
+    def settled(self) -> asyncio.Event:
+        """Set once there is none, or this process shares its state with them."""
+        ...
+
+    def begin_accepting(self) -> None:
+        """Has to be called before this process accepts clients."""
+        ...
+
+
 class Startup:
     """Starts listening as soon as clients can be served."""
 
@@ -73,32 +87,37 @@
         """Whether discovery was called, and has responded, failed or timed out."""
         return self._has_timed_out or self._endpoints_received.is_set() or self._first_call_ended.is_set()
 
-    async def take_over(self, inherited: socket.socket) -> None:
+    async def take_over(self, inherited: socket.socket, siblings: Siblings) -> None:
         """Accepts connections from an inherited listener once a fresh endpoint list has arrived.
 
-        The previous process serves meanwhile.  If it was killed, connections wait in the accept queue; the
-        cached endpoint list is sufficient to serve them.
+        The previous process serves meanwhile, and shares its state with this one.  If it was killed,
+        connections wait in the accept queue; the cached endpoint list is sufficient to serve them.
         """
         self._budget.set_shared(is_shared=True)
         loop = asyncio.get_running_loop()
         started_at = loop.time()
-        endpoints_task = loop.create_task(self._endpoints_received.wait())
+        prepared_task = loop.create_task(self._wait_until_prepared(siblings))
         unaccepted_task = loop.create_task(wait_until_no_process_accepts(inherited, _UNACCEPTED_AFTER_S))
         try:
             await asyncio.wait(
-                (endpoints_task, unaccepted_task),
+                (prepared_task, unaccepted_task),
                 timeout=_TAKEOVER_TIMEOUT_S,
                 return_when=asyncio.FIRST_COMPLETED,
             )
         finally:
-            endpoints_task.cancel()
+            prepared_task.cancel()
             unaccepted_task.cancel()
         if not self._endpoints_received.is_set():
             self._has_timed_out = True
             self._log("endpoint_list_stale", waited_s=round(loop.time() - started_at, 1))
+        siblings.begin_accepting()
         self._downstream.listen(inherited)
         loop.call_later(_TAKEOVER_OVERLAP_S, self._end_takeover)
 
+    async def _wait_until_prepared(self, siblings: Siblings) -> None:
+        await siblings.settled.wait()
+        await self._endpoints_received.wait()
+
     def _end_takeover(self) -> None:
         """Assigns all descriptors to this process, since the previous one has ended by now."""
         if self._downstream.lifecycle.phase is not Phase.STOPPING:
