The processes of an upgrade share the endpoint list

Seen in a trial: discovery had announced to the old process that a server drains, and did not respond to the new one, which began with the list of its configuration after 3 s and sent 6 to 12 of 20 requests to that server. Both processes count as one sidecar, and what is written to it counts as announced.

It is applied if it is newer, as a cached list is: the receiver's own calls and its wait for a fresh list go on.

--- a/tests/sidecar/discovery/test_endpoint_list_codec.py
+++ b/tests/sidecar/discovery/test_endpoint_list_codec.py
@@ -12,6 +12,7 @@
     DiscoveryFormatError,
     EndpointListLimits,
     decode_endpoint_list,
+    encode_endpoint_list,
     parse_endpoint_list,
 )
 
@@ -32,6 +33,18 @@
     assert response.endpoints[0].address is None
 
 
+def test_encoded_endpoint_list_is_decoded_to_the_same_list() -> None:
+    # Guards against a start time that changes on the way, which would count as a restart.
+    servers = [
+        endpoint_entry("a", "127.0.0.1:80", started_ms=1_700_000_000_123, weight=0.5, cell=3),
+        endpoint_entry("b", "[::1]:81", state="leaving", started_ms=0),
+        {"id": "c", "state": "left"},
+    ]
+    response = parse_endpoint_list(_list_document(servers=servers, full=True))
+    limits = EndpointListLimits.for_memory(64)
+    assert decode_endpoint_list(encode_endpoint_list(response), limits) == response
+
+
 @pytest.mark.parametrize(
     ("document", "field", "problem"),
     [
--- /dev/null
+++ b/tests/sidecar/test_upgrade_endpoint_lists.py
@@ -0,0 +1,129 @@
+"""The endpoint list while two processes of one sidecar run: what one has received counts for both."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from pathlib import Path
+
+import pytest
+from loopback import (
+    OK_RESPONSE,
+    ReceivedRequest,
+    Script,
+    ScriptedDiscovery,
+    ScriptedServer,
+    endpoint_entry,
+    listen,
+    run_async,
+    wait_until,
+)
+from running import VALID_CONFIG, SidecarProcess, running_sidecar, wait_for_metric
+from upgrading import stop_accepting
+
+_STALE_LIST_LOG = "no fresh endpoint list"
+_REQUESTS = 20
+
+
+class Fleet:
+    """Two servers, of which one can be drained, and the discovery of each process."""
+
+    def __init__(self, folder: Path) -> None:
+        self._folder = folder
+        self.requests_by_server: dict[str, int] = {"s-1": 0, "s-2": 0}
+        self.listener = listen()
+        self.discovery = ScriptedDiscovery()
+        self._servers: list[ScriptedServer] = []
+
+    async def start(self) -> None:
+        for name in self.requests_by_server:
+            self._servers.append(await ScriptedServer(self._script(name)).start())
+        addresses = [each.address for each in self._servers]
+        self.entries = [endpoint_entry(f"s-{number}", each) for number, each in enumerate(addresses, 1)]
+        self.discovery.servers = list(self.entries)
+        await self.discovery.start()
+
+    def _script(self, name: str) -> Script:
+        async def respond(_received: ReceivedRequest) -> bytes:
+            self.requests_by_server[name] += 1
+            return OK_RESPONSE
+
+        return respond
+
+    def stop(self) -> None:
+        for each in (*self._servers, self.discovery):
+            each.stop()
+        self.listener.close()
+
+    def drain(self) -> None:
+        """Announces to whoever watches that s-1 is draining."""
+        self.discovery.announce({**self.entries[0], "state": "leaving"})
+
+    @asynccontextmanager
+    async def process(self, allowed_log_pattern: str | None = None) -> AsyncIterator[SidecarProcess]:
+        """Runs a process whose cached list has both servers as ready."""
+        path = self._folder / "config.json"
+        known = {"version": 1, "full": True, "servers": self.entries}
+        path.write_text(json.dumps({**VALID_CONFIG, "discovery": self.discovery.address, "known": known}))
+        async with running_sidecar(path, self._servers[0], self.listener, allowed_log_pattern) as running:
+            yield running
+
+
+@asynccontextmanager
+async def running_fleet(folder: Path) -> AsyncIterator[Fleet]:
+    fleet = Fleet(folder)
+    await fleet.start()
+    try:
+        yield fleet
+    finally:
+        fleet.stop()
+
+
+async def send_requests(process: SidecarProcess) -> None:
+    for _ in range(_REQUESTS):
+        client = await process.connect()
+        assert (await client.send_request("check")).status == 200
+        client.close()
+
+
+async def wait_until_watching(fleet: Fleet, calls: int) -> None:
+    await wait_until(lambda: len(fleet.discovery.received_requests) >= calls)
+
+
+@pytest.mark.parametrize("is_old_killed", [False, True])
+def test_new_process_starts_with_the_list_of_the_old_one_when_discovery_does_not_respond(
+    tmp_path: Path, *, is_old_killed: bool
+) -> None:
+    # Guards against a new process that sends to a server which the old one knows to be draining.
+    async def work() -> None:
+        async with running_fleet(tmp_path) as fleet, fleet.process() as old:
+            await wait_until_watching(fleet, 2)
+            fleet.drain()
+            await wait_for_metric(old, "app.members_unavailable", 1)
+            fleet.discovery.stop_responding()
+            async with fleet.process(_STALE_LIST_LOG) as new:
+                if is_old_killed:
+                    old.process.kill()
+                    await old.process.wait()
+                else:
+                    await stop_accepting(old)
+                await send_requests(new)
+                assert fleet.requests_by_server["s-1"] == 0
+
+    run_async(work)
+
+
+def test_process_receives_what_discovery_tells_the_other_one(tmp_path: Path) -> None:
+    # Guards against a watch that is silent at one of the two processes only.
+    async def work() -> None:
+        async with running_fleet(tmp_path) as fleet, fleet.process() as old:
+            await wait_until_watching(fleet, 2)
+            async with fleet.process() as new:
+                await wait_until_watching(fleet, 4)
+                fleet.discovery.stop_responding()  # to any later call
+                fleet.drain()  # answers one of the two watches
+                for each in (old, new):
+                    await wait_for_metric(each, "app.members_unavailable", 1)
+
+    run_async(work)
--- a/tests/sidecar/test_upgrade_ids.py
+++ b/tests/sidecar/test_upgrade_ids.py
@@ -11,7 +11,7 @@
 import pytest
 from loopback import TEST_TIMEOUT_S, http_request, run_async, wait_until, within_timeout
 from running import SidecarProcess, read_metric, wait_for_metric
-from upgrading import UNRESPONSIVE_LOG, Upgrade, running_upgrade
+from upgrading import UNRESPONSIVE_LOG, Upgrade, running_upgrade, stop_accepting
 
 from tulipnotch.sidecar.handover.connection import create_socket
 
@@ -46,7 +46,7 @@
             async with upgrade.start_new():
                 during.send(_request(service_class, "held-during"))
                 await upgrade.server.wait_for("held-during")
-                await upgrade.stop_accepting(upgrade.old)
+                await stop_accepting(upgrade.old)
                 for request_id in ("held-before", "held-during"):
                     assert (await upgrade.send(service_class, request_id)).status == 409
                 upgrade.server.released.set()
@@ -67,7 +67,7 @@
         async with running_upgrade(tmp_path) as upgrade:
             partial = await upgrade.partial_request(service_class, "held")
             async with upgrade.start_new():
-                await upgrade.stop_accepting(upgrade.old)
+                await stop_accepting(upgrade.old)
                 first = await upgrade.hold_request(service_class, "held")
                 assert (await partial.complete()).status == 409
                 upgrade.server.released.set()
@@ -88,7 +88,7 @@
             async with upgrade.start_new():
                 during.send(_request("lodge", "held-during"))
                 await upgrade.server.wait_for("held-during")
-                await upgrade.stop_accepting(upgrade.old)
+                await stop_accepting(upgrade.old)
                 during.close()
                 for request_id in ("held-before", "held-during"):
                     assert (await upgrade.send("lodge", request_id)).status == 409
@@ -103,7 +103,7 @@
         async with running_upgrade(tmp_path) as upgrade:
             partial = await upgrade.partial_request("lodge", "held")
             async with upgrade.start_new() as new:
-                await upgrade.stop_accepting(upgrade.old)
+                await stop_accepting(upgrade.old)
                 first = await upgrade.hold_request("lodge", "held")
                 first.close()
                 await _wait_for_pending(new, 0)
@@ -123,7 +123,7 @@
         async with running_upgrade(tmp_path) as upgrade:
             at_old = [await upgrade.partial_request(service_class, each) for each in ids]
             async with upgrade.start_new() as new:
-                await upgrade.stop_accepting(upgrade.old)
+                await stop_accepting(upgrade.old)
                 at_new = [await upgrade.partial_request(service_class, each) for each in ids]
                 suspend(upgrade.old, new)
                 for partial in (*at_old, *at_new):
@@ -164,7 +164,7 @@
         async with running_upgrade(tmp_path) as upgrade:
             await upgrade.hold_request("lodge", "held")
             async with upgrade.start_new() as new:
-                await upgrade.stop_accepting(upgrade.old)
+                await stop_accepting(upgrade.old)
                 suspend(upgrade.old)
                 async with asyncio.timeout(_RESPONSE_TIMEOUT_S):
                     assert (await upgrade.send("lodge", "held")).status == 409
@@ -217,11 +217,11 @@
         async with running_upgrade(tmp_path) as upgrade:
             await upgrade.hold_request("lodge", "held-first")
             async with upgrade.start_new() as second:
-                await upgrade.stop_accepting(upgrade.old)
+                await stop_accepting(upgrade.old)
                 await upgrade.hold_request("lodge", "held-second")
                 partial = await upgrade.partial_request("lodge", "held-third")
                 async with upgrade.start_new() as third:
-                    await upgrade.stop_accepting(second)
+                    await stop_accepting(second)
                     for request_id in ("held-first", "held-second"):
                         assert (await upgrade.send("lodge", request_id)).status == 409
                     await upgrade.hold_request("lodge", "held-third")
@@ -245,7 +245,7 @@
             await within_timeout(upgrade.old.process.wait())
             await upgrade.hold_request("lodge", "held")
             async with upgrade.start_new():
-                await upgrade.stop_accepting(second)
+                await stop_accepting(second)
                 assert (await upgrade.send("lodge", "held")).status == 409
                 assert upgrade.server.executed.count("held") == 1
 
@@ -264,7 +264,7 @@
                     socket.send_fds(stranger, [hello], [other_listener.fileno()])
             async with upgrade.start_new() as new:
                 assert await read_metric(new, "app.request_ids_unknown") == 0
-                await upgrade.stop_accepting(upgrade.old)
+                await stop_accepting(upgrade.old)
                 assert (await upgrade.send("lodge", "held")).status == 409
                 for stranger in strangers:
                     await wait_until(lambda stranger=stranger: _has_ended(stranger))  # type: ignore[misc]
--- a/tests/upgrading.py
+++ b/tests/upgrading.py
@@ -56,6 +56,13 @@
         return await self.client.read_response()
 
 
+async def stop_accepting(process: SidecarProcess) -> None:
+    """Sends SIGTERM; returns once new connections are left to the other processes."""
+    process.process.send_signal(signal.SIGTERM)
+    with suppress(ConnectionRefusedError):  # it has ended
+        await wait_for_readyz(process, "-ERR stopping")
+
+
 class Upgrade:
     """An old process, and the new one once it was started; both have inherited the same listener."""
 
@@ -71,12 +78,6 @@
         async with running_sidecar(self.config, self.old.server, self.listener, allowed_log_pattern) as new:
             yield new
 
-    async def stop_accepting(self, process: SidecarProcess) -> None:
-        """Sends SIGTERM; returns once new connections are left to the other processes."""
-        process.process.send_signal(signal.SIGTERM)
-        with suppress(ConnectionRefusedError):  # it has ended
-            await wait_for_readyz(process, "-ERR stopping")
-
     async def connect(self) -> Client:
         """Connects to the process that accepts; `lodge` requests are served on the connection."""
         client = await self.old.connect()
--- a/tulipnotch/load_balancing/balancer.py
+++ b/tulipnotch/load_balancing/balancer.py
@@ -19,6 +19,7 @@
 from tulipnotch.load_balancing.events import (
     AttemptEnded,
     ClientDisconnected,
+    EndpointDescription,
     Event,
     RequestArrived,
     RequestBodyCompleted,
@@ -86,6 +87,10 @@
         """Returns the number of listed endpoints, and how many of these get no regular requests now."""
         return self._components.endpoint_list.count_endpoints()
 
+    def listed_endpoints(self) -> list[EndpointDescription]:
+        """Returns the endpoint list as of the last event."""
+        return self._components.endpoint_list.descriptions()
+
     def pressure(self) -> Pressure:
         """Returns the measurements by which service levels are chosen."""
         return self._components.admission.pressure()
--- a/tulipnotch/load_balancing/endpoints/endpoint_list.py
+++ b/tulipnotch/load_balancing/endpoints/endpoint_list.py
@@ -53,6 +53,21 @@
         self._context.ready_endpoints = ready
         self._set_latency_ratios(ready)
 
+    def descriptions(self) -> list[EndpointDescription]:
+        """Returns the listed endpoints; without their machine types, which are not kept."""
+        return [
+            EndpointDescription(
+                name=each.name,
+                zone=each.zone,
+                cell=each.cell,
+                state=each.state,
+                nominal_capacity=each.nominal_capacity,
+                started_at=each.started_at,
+            )
+            for each in self._context.endpoints.values()
+            if each.state is not EndpointState.REMOVED
+        ]
+
     def count_endpoints(self) -> EndpointCounts:
         """Counts the endpoints as of the last event."""
         listed = [
--- a/tulipnotch/sidecar/addresses.py
+++ b/tulipnotch/sidecar/addresses.py
@@ -28,3 +28,9 @@
     if not 0 <= port_number <= 65_535:
         raise ValueError(f"a port from 0 to 65535 is needed, not {port_number}")
     return host.strip("[]"), port_number
+
+
+def format_address(address: Address) -> str:
+    """Returns an address as `address:port`, with an IPv6 address in brackets."""
+    host, port = address
+    return f"[{host}]:{port}" if ":" in host else f"{host}:{port}"
--- a/tulipnotch/sidecar/discovery/client.py
+++ b/tulipnotch/sidecar/discovery/client.py
@@ -84,6 +84,29 @@
         self._fetches: set[asyncio.Task[None]] = set()
         self._tasks: set[asyncio.Task[None]] = set()  # the tasks of all fetches and of all watches
 
+    @property
+    def address(self) -> Address:
+        """Where discovery listens."""
+        return self._address
+
+    @property
+    def version(self) -> int | None:
+        """The version of the list in force; None if it is that of another discovery server."""
+        return self._version
+
+    def accept_version(self, version: int) -> bool:
+        """Makes a list that this client has not received itself the one in force, if it is newer.
+
+        Returns:
+            Whether it is newer; the caller then applies it.
+        """
+        if self._version is None or version <= self._version:
+            return False
+        self._version = version
+        self._revision += 1
+        self.has_endpoint_list = True
+        return True
+
     def apply_settings(self, settings: Settings) -> None:
         """Uses the intervals of these settings from the next call on."""
         self.intervals = (
--- a/tulipnotch/sidecar/discovery/endpoint_list_codec.py
+++ b/tulipnotch/sidecar/discovery/endpoint_list_codec.py
@@ -1,4 +1,4 @@
-"""Decodes the endpoint list that discovery sends as JSON.
+"""Decodes and encodes the endpoint list that discovery sends as JSON.
 
 The keys and states of the JSON are mapped to the terms of this project here and nowhere else.
 """
@@ -14,10 +14,12 @@
     EndpointsUpdated,
     EndpointUpdateKind,
 )
-from tulipnotch.sidecar.addresses import Address, parse_address
+from tulipnotch.sidecar.addresses import Address, format_address, parse_address
 
 _STATES = {"active": EndpointState.READY, "leaving": EndpointState.DRAINING, "left": EndpointState.REMOVED}
 
+_STATE_NAMES = {state: name for name, state in _STATES.items()}
+
 _MAX_BYTES = 4 << 20  # longest response that any memory limit allows
 # Bytes of a response, and of the memory that decoding it may take, for each MB of the memory limit.
 _BYTES_PER_MB = (1 << 20) // 32
@@ -119,6 +121,27 @@
     return DiscoveryResponse(version, is_complete, tuple(map(_parse_endpoint, servers)))
 
 
+def encode_endpoint_list(response: DiscoveryResponse) -> bytes:
+    """Returns the body of a response, in the form in which discovery sends it."""
+    servers = [_endpoint_entry(each) for each in response.endpoints]
+    document = {"version": response.version, "full": response.is_complete, "servers": servers}
+    return json.dumps(document).encode()
+
+
+def _endpoint_entry(endpoint: DiscoveredEndpoint) -> dict[str, Any]:
+    description = endpoint.description
+    return {
+        "id": description.name,
+        "addr": None if endpoint.address is None else format_address(endpoint.address),
+        "zone": description.zone,
+        "kind": description.machine_type,
+        "cell": description.cell,
+        "state": _STATE_NAMES[description.state],
+        "weight": description.nominal_capacity,
+        "started_ms": (description.started_at or 0) / 1_000,
+    }
+
+
 def _parse_endpoint(entry: object) -> DiscoveredEndpoint:
     if not isinstance(entry, dict):
         raise DiscoveryFormatError("servers", "each server must be a JSON object")
--- a/tulipnotch/sidecar/endpoint_updates.py
+++ b/tulipnotch/sidecar/endpoint_updates.py
@@ -1,11 +1,15 @@
-"""The way of endpoint lists, from discovery to the upstream pool and the balancer."""
+"""The way of endpoint lists, from discovery or another process, to the upstream pool and the balancer."""
 
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 
+from tulipnotch.load_balancing import Balancer
 from tulipnotch.load_balancing.events import EndpointsUpdated, EndpointUpdateKind
-from tulipnotch.sidecar.discovery.endpoint_list_codec import DiscoveryResponse
+from tulipnotch.sidecar.addresses import format_address
+from tulipnotch.sidecar.discovery.client import DiscoveryClient
+from tulipnotch.sidecar.discovery.endpoint_list_codec import DiscoveredEndpoint, DiscoveryResponse
 from tulipnotch.sidecar.event_queue import EventQueue
 from tulipnotch.sidecar.requests.context import SidecarContext
 
@@ -15,11 +19,13 @@
 
     Attributes:
         received: Set when discovery has sent an endpoint list.
+        on_change: Is called after each update that was applied.
     """
 
     def __init__(self, context: SidecarContext, events: EventQueue) -> None:
         """Has forwarded nothing."""
         self.received = asyncio.Event()
+        self.on_change: Callable[[], None] = _ignore_change
         self._context = context
         self._events = events
 
@@ -28,6 +34,8 @@
         self.received.set()
         self._context.upstream.endpoints_updated(response)
         self._events.post(response.to_event())
+        if response.is_complete or response.endpoints:
+            self.on_change()
 
     def call_failed(self) -> None:
         """Forwards the failure of a call."""
@@ -36,3 +44,54 @@
     def fault_changed(self, fault: str) -> None:
         """Logs the cause of a failed call."""
         self._context.log("discovery_failed", fault=fault)
+
+
+class EndpointListAccess:
+    """The endpoint list of this process, for other processes of its sidecar (`EndpointListSource`)."""
+
+    def __init__(
+        self,
+        context: SidecarContext,
+        events: EventQueue,
+        balancer: Balancer,
+        discovery: DiscoveryClient,
+        on_change: Callable[[], None],
+    ) -> None:
+        """Reads and updates the state of these components; `on_change` is called after an update."""
+        self._context = context
+        self._events = events
+        self._balancer = balancer
+        self._discovery = discovery
+        self._on_change = on_change
+
+    @property
+    def discovery_address(self) -> str:
+        """The address of discovery, as `address:port`."""
+        return format_address(self._discovery.address)
+
+    def complete_list(self) -> DiscoveryResponse | None:
+        """Returns the list in force with its version; None if its version can't be compared."""
+        version = self._discovery.version
+        if version is None:
+            return None
+        address_of = self._context.upstream.endpoint_address
+        listed = [
+            DiscoveredEndpoint(each, address_of(each.name)) for each in self._balancer.listed_endpoints()
+        ]
+        return DiscoveryResponse(
+            version, is_complete=True, endpoints=tuple(each for each in listed if each.address)
+        )
+
+    def sibling_list_received(self, response: DiscoveryResponse) -> None:
+        """Applies the list of another process if it is newer.
+
+        It is no response to a call of this process, whose own calls go on as if it had not been received.
+        """
+        if self._discovery.accept_version(response.version):
+            self._context.upstream.endpoints_updated(response)
+            self._events.post(response.to_event(EndpointUpdateKind.CACHED))
+            self._on_change()
+
+
+def _ignore_change() -> None:
+    """Does nothing."""
--- a/tulipnotch/sidecar/handover/handover.py
+++ b/tulipnotch/sidecar/handover/handover.py
@@ -1,8 +1,8 @@
-"""What this process shares with the others of its sidecar: request ids.
+"""What this process shares with the others of its sidecar: request ids, the endpoint list.
 
 During an upgrade the previous process and the new one count as one sidecar: an id that one of them has
-accepted must not be accepted by the other.  While there is only one process, it waits for another at the
-channel's address, and nothing else here runs.
+accepted must not be accepted by the other, and what one has received from discovery counts for both.  While
+there is only one process, it waits for another at the channel's address, and nothing else here runs.
 """
 
 from __future__ import annotations
@@ -12,10 +12,12 @@
 import socket
 from collections.abc import Callable
 
+from tulipnotch.sidecar.discovery.endpoint_list_codec import EndpointListLimits
 from tulipnotch.sidecar.handover.channel import HandoverChannel, Offer
 from tulipnotch.sidecar.handover.connection import ReceivedMessage
+from tulipnotch.sidecar.handover.endpoint_lists import EndpointListExchange, EndpointListSource
 from tulipnotch.sidecar.handover.id_journal import IdJournal, JournalError
-from tulipnotch.sidecar.handover.messages import Hello, Welcome
+from tulipnotch.sidecar.handover.messages import EndpointListChanged, Hello, Welcome
 from tulipnotch.sidecar.requests.context import SidecarContext
 from tulipnotch.sidecar.requests.request_registry import RequestRegistry
 from tulipnotch.sidecar.requests.shared_ids import UnknownIds
@@ -36,6 +38,8 @@
         listener: socket.socket,
         context: SidecarContext,
         registry: RequestRegistry,
+        endpoint_lists: EndpointListSource,
+        list_limits: EndpointListLimits,
     ) -> None:
         """Shares nothing before `start`.
 
@@ -43,11 +47,18 @@
             listener: The inherited listening socket, which the handover owns from now on.
             context: The clock, the log and the metrics.
             registry: Has the ids of this process, and is given those of the others.
+            endpoint_lists: Has the endpoint list of this process.
+            list_limits: Limits on the endpoint list of another process.
         """
         self._context = context
         self._registry = registry
         self._listener = listener
         self._channel = HandoverChannel(listener, self)
+        self._lists = EndpointListExchange(
+            endpoint_lists,
+            list_limits,
+            lambda message, descriptor: self._channel.broadcast(message, [descriptor]),
+        )
         self._journal: IdJournal | None = None
         self._timer: asyncio.TimerHandle | None = None  # ends the journal, or the time of unknown ids
 
@@ -71,9 +82,15 @@
             self._registry.shared_ids = UnknownIds()
             self._set_timer(_UNRESPONSIVE_S, self._forget_unresponsive)
 
+    def endpoint_list_changed(self) -> None:
+        """Sends the endpoint list to the other processes, if there are any."""
+        if self._channel.has_siblings:
+            self._lists.list_changed()
+
     def close(self) -> None:
         """Stops sharing; all responses of this process have ended."""
         self._channel.close()
+        self._lists.cancel()
         self._cancel_timer()
         if self._journal is not None:
             self._journal.close()
@@ -133,7 +150,9 @@
         registry.shared_ids = journal
 
     def message_received(self, received: ReceivedMessage) -> None:
-        """Ignores all other messages."""
+        """Applies the endpoint list of another process."""
+        if isinstance(received.message, EndpointListChanged) and received.descriptors:
+            self._lists.received(received.message, received.descriptors[0])
 
     def sibling_ended(self, owner: int) -> None:
         """Retains the ids that another process had in use at its end."""
@@ -141,9 +160,10 @@
             self._journal.owner_ended(owner)
 
     def process_count_changed(self, count: int) -> None:
-        """Keeps the journal while there are other processes, and some time longer."""
+        """Sends the endpoint list to a process that has joined; keeps the journal while there are others."""
         if count > 1:
             self._cancel_timer()
+            self._lists.send_list()
         elif self._journal is not None:
             self._set_timer(_JOURNAL_LINGER_S, self._close_journal)
 
--- a/tulipnotch/sidecar/handover/messages.py
+++ b/tulipnotch/sidecar/handover/messages.py
@@ -51,7 +51,18 @@
     count: int
 
 
-Message = Hello | Welcome | ProcessCount
+@dataclass(frozen=True, slots=True)
+class EndpointListChanged:
+    """The sender's endpoint list, which comes in a memory file beside the message.
+
+    Attributes:
+        discovery: Address of the discovery server that has sent it, since versions differ between servers.
+    """
+
+    discovery: str
+
+
+Message = Hello | Welcome | ProcessCount | EndpointListChanged
 
 
 def encode(message: Message) -> bytes:
@@ -63,6 +74,8 @@
             return _HEAD.pack(_VERSION, 2) + _WELCOME.pack(sender, owner)
         case ProcessCount(count):
             return _HEAD.pack(_VERSION, 3) + _COUNT.pack(count)
+        case EndpointListChanged(discovery):
+            return _HEAD.pack(_VERSION, 4) + discovery.encode()
 
 
 def decode(datagram: bytes) -> Message:
@@ -75,7 +88,7 @@
         version, kind = _HEAD.unpack_from(datagram)
         if version == _VERSION:
             return _decode_body(kind, datagram[_HEAD.size :])
-    except struct.error as error:
+    except (struct.error, UnicodeDecodeError) as error:
         raise MessageError(str(error)) from None
     raise MessageError(f"version {version} is not {_VERSION}")
 
@@ -88,5 +101,7 @@
             return Welcome(*_WELCOME.unpack(body))
         case 3:
             return ProcessCount(*_COUNT.unpack(body))
+        case 4:
+            return EndpointListChanged(body.decode())
         case _:
             raise MessageError(f"kind {kind} is not known")
--- a/tulipnotch/sidecar/sidecar.py
+++ b/tulipnotch/sidecar/sidecar.py
@@ -27,7 +27,7 @@
 from tulipnotch.sidecar.discovery.peers import PeerMessenger
 from tulipnotch.sidecar.downstream.listener import bind_with_retry
 from tulipnotch.sidecar.downstream.server import DownstreamServer
-from tulipnotch.sidecar.endpoint_updates import EndpointUpdateForwarder
+from tulipnotch.sidecar.endpoint_updates import EndpointListAccess, EndpointUpdateForwarder
 from tulipnotch.sidecar.event_loop_monitor import EventLoopMonitor
 from tulipnotch.sidecar.event_queue import EventQueue
 from tulipnotch.sidecar.operator_file import OperatorOptions
@@ -189,7 +189,21 @@
     def _create_handover(self, inherited: socket.socket) -> Handover:
         from tulipnotch.sidecar.handover.handover import Handover  # only an inherited listener needs it
 
-        return Handover(inherited.dup(), self._context, self._registry)
+        endpoint_lists = EndpointListAccess(
+            self._context, self._events, self._balancer, self._discovery, self._endpoint_list_changed
+        )
+        self._endpoint_updates.on_change = self._endpoint_list_changed
+        return Handover(
+            inherited.dup(),
+            self._context,
+            self._registry,
+            endpoint_lists,
+            EndpointListLimits.for_memory(self.config.memory_mb),
+        )
+
+    def _endpoint_list_changed(self) -> None:
+        if self._handover is not None:
+            self._handover.endpoint_list_changed()
 
     def _check_readiness_invariant(self) -> None:
         """Checks that this process has waited for discovery, or that the cached list is sufficient."""
--- a/tulipnotch/sidecar/upstream/pool.py
+++ b/tulipnotch/sidecar/upstream/pool.py
@@ -117,6 +117,11 @@
             endpoint.is_draining = True  # seen by connections that are being established
             endpoint.close_idle()
 
+    def endpoint_address(self, name: str) -> Address | None:
+        """Returns the address of an endpoint, or None if it was removed."""
+        endpoint = self._endpoints.get(name)
+        return None if endpoint is None else endpoint.address
+
     def endpoint_locality(self, name: str) -> tuple[str, int]:
         """Returns the zone and the cell of an endpoint, or `("", 0)` if it was removed."""
         endpoint = self._endpoints.get(name)
