The processes of an upgrade divide the budgets of servers that warm up

Change: the channel counts the processes, and each fills its buckets at its part of the rate and starts new ones with its part of the first tokens. A process that has just started has no tokens: those of the running one count. With one process all results are bit for bit the same.

--- a/tests/load_balancing/slow_start/test_slow_start_load.py
+++ b/tests/load_balancing/slow_start/test_slow_start_load.py
@@ -5,7 +5,7 @@
 import pytest
 from helpers import MS, BalancerDriver, S, endpoint_names
 
-from tulipnotch.load_balancing.events import EndpointDescription, EndpointUpdateKind
+from tulipnotch.load_balancing.events import EndpointDescription, EndpointUpdateKind, ProcessCountChanged
 
 
 @pytest.mark.parametrize(("interval_us", "burst"), [(10 * MS, 1), (200 * MS, 20), (500 * MS, 1)])
@@ -80,3 +80,40 @@
     driver.advance(60 * S)
     driver.receive_request()
     assert driver.balancer._components.warm_capacity.per_us() < per_us / 1_000
+
+
+def _requests_to_warming_endpoint(process: ProcessCountChanged | None, seed: int = 7) -> int:
+    """Returns how many requests a process sends to an endpoint that warms up, under constant demand."""
+    driver = BalancerDriver(seed=seed)
+    warm, warming_up = endpoint_names(2)
+    driver.update_endpoints([warm])
+    driver.run_traffic(400, arrival_interval_us=5 * MS)
+    started = EndpointDescription(warming_up, zone="east", started_at=driver.now)
+    driver.update_endpoints([started], EndpointUpdateKind.DELTA)
+    if process is not None:
+        driver.handle(process)
+    driver.run_traffic(800, arrival_interval_us=5 * MS)
+    return sum(each.endpoint == warming_up for _, each in driver.started_attempts())
+
+
+def test_two_processes_of_an_instance_send_an_endpoint_that_warms_up_as_much_as_one() -> None:
+    # Guards against a budget for each process of an upgrade, though both count as one sidecar.
+    alone = _requests_to_warming_endpoint(None)
+    previous = _requests_to_warming_endpoint(ProcessCountChanged(2, is_new=False))
+    new = _requests_to_warming_endpoint(ProcessCountChanged(2, is_new=True), seed=8)
+    assert alone > 100
+    assert previous + new <= 1.1 * alone
+
+
+def test_new_process_of_an_instance_begins_without_tokens() -> None:
+    # Guards against initial tokens that the previous process has used already.
+    driver = BalancerDriver()
+    warming_up = EndpointDescription("10.0.0.1:80", zone="east", started_at=driver.now)
+    driver.update_endpoints([warming_up], EndpointUpdateKind.CACHED)
+    endpoint = driver.balancer._components.context.endpoints["10.0.0.1:80"]
+    assert endpoint.warm_up is not None
+    assert endpoint.warm_up.budget.holds(0.01)
+    driver.handle(ProcessCountChanged(2, is_new=False))
+    assert endpoint.warm_up.budget.holds(0.01)
+    driver.handle(ProcessCountChanged(2, is_new=True))
+    assert not endpoint.warm_up.budget.holds(0.01)
--- a/tulipnotch/load_balancing/components.py
+++ b/tulipnotch/load_balancing/components.py
@@ -12,6 +12,7 @@
     EndpointsUpdated,
     EndpointUpdateKind,
     Event,
+    ProcessCountChanged,
     ServiceLevelChanged,
     SettingsChanged,
 )
@@ -67,6 +68,8 @@
                 self.endpoints_updated(event)
             case SettingsChanged():
                 self.settings_changed(event.settings)
+            case ProcessCountChanged():
+                self.slow_start.process_count_changed(event.process_count, is_new=event.is_new)
             case ServiceLevelChanged():
                 self.admission.level_changed(event)
             case _:
--- a/tulipnotch/load_balancing/events.py
+++ b/tulipnotch/load_balancing/events.py
@@ -178,6 +178,17 @@
     rejected_classes: frozenset[str]
 
 
+@dataclass(frozen=True, slots=True)
+class ProcessCountChanged:
+    """Another process of the same instance has started or ended; they divide the instance's budgets.
+
+    `is_new`: this process is the one that has started, and has sent no request yet.
+    """
+
+    process_count: int
+    is_new: bool
+
+
 Event = (
     EndpointsUpdated
     | SettingsChanged
@@ -193,4 +204,5 @@
     | TimerFired
     | HealthCheckEnded
     | PeerMessageReceived
+    | ProcessCountChanged
 )
--- a/tulipnotch/load_balancing/slow_start/warm_up_budget.py
+++ b/tulipnotch/load_balancing/slow_start/warm_up_budget.py
@@ -81,6 +81,15 @@
         """Takes the current settings from `context` at each call."""
         self._context = context
         self._capacity = capacity
+        self._process_count = 1  # processes of this instance, which divide its budgets evenly
+
+    def process_count_changed(self, process_count: int, *, is_new: bool) -> None:
+        """Divides the budgets anew; a new process begins without tokens, since the others have them."""
+        self._process_count = process_count
+        if is_new:
+            for endpoint in self._context.endpoints.values():
+                if endpoint.warm_up is not None:
+                    endpoint.warm_up.budget = ExpiringTokenBucket(self._context.now, 0.0)
 
     def process_started(self, endpoint: Endpoint, started_at: int | None = None) -> None:
         """Starts an endpoint's warm-up at the process start that discovery announced, or now (None).
@@ -94,7 +103,7 @@
         )
         endpoint.warm_up = WarmUp(
             now if started_at is None else min(started_at, now),
-            ExpiringTokenBucket(now, tokens),
+            ExpiringTokenBucket(now, tokens / self._process_count),
             is_start_announced=started_at is not None,
         )
 
@@ -115,9 +124,11 @@
         per_us = self._capacity.per_us()
         if self._capacity.mean_nominal_capacity > 0.0:
             per_us *= min(endpoint.nominal_capacity / self._capacity.mean_nominal_capacity, 1.0)
+        per_us /= self._process_count
         rate = rules.overload_multiple * warm_up_factor(rules, warm_up.started_at, now) * per_us
         # What all instances together may send to it, if all have the same rate as this one.
         budget = rate * rules.overload_window_us * settings.instance_count * self._capacity.selected_fraction
+        budget *= self._process_count
         if work > max_cost(budget):
             return False
         return has_budget(warm_up.budget, now, rate, rules.overload_window_us, work)
--- a/tulipnotch/sidecar/handover/handover.py
+++ b/tulipnotch/sidecar/handover/handover.py
@@ -1,4 +1,4 @@
-"""What this process shares with the others of its sidecar: request ids, the endpoint list.
+"""What this process shares with the others of its sidecar: request ids, the endpoint list, warm-up budgets.
 
 During an upgrade the previous process and the new one count as one sidecar: an id that one of them has
 accepted must not be accepted by the other, and what one has received from discovery counts for both.  While
@@ -12,7 +12,9 @@
 import socket
 from collections.abc import Callable
 
+from tulipnotch.load_balancing.events import ProcessCountChanged
 from tulipnotch.sidecar.discovery.endpoint_list_codec import EndpointListLimits
+from tulipnotch.sidecar.event_queue import EventQueue
 from tulipnotch.sidecar.handover.channel import HandoverChannel, Offer
 from tulipnotch.sidecar.handover.connection import ReceivedMessage
 from tulipnotch.sidecar.handover.endpoint_lists import EndpointListExchange, EndpointListSource
@@ -28,6 +30,7 @@
 # Time for which ids count as unknown where another process does not answer; the platform has killed it by
 # then.
 _UNRESPONSIVE_S = 5.0
+_UNRESPONSIVE_PROCESS_COUNT = 2
 
 
 class Handover:
@@ -38,6 +41,7 @@
         listener: socket.socket,
         context: SidecarContext,
         registry: RequestRegistry,
+        events: EventQueue,
         endpoint_lists: EndpointListSource,
         list_limits: EndpointListLimits,
     ) -> None:
@@ -47,11 +51,13 @@
             listener: The inherited listening socket, which the handover owns from now on.
             context: The clock, the log and the metrics.
             registry: Has the ids of this process, and is given those of the others.
+            events: Takes the number of processes, by which the balancer divides its budgets.
             endpoint_lists: Has the endpoint list of this process.
             list_limits: Limits on the endpoint list of another process.
         """
         self._context = context
         self._registry = registry
+        self._events = events
         self._listener = listener
         self._channel = HandoverChannel(listener, self)
         self._lists = EndpointListExchange(
@@ -61,6 +67,7 @@
         )
         self._journal: IdJournal | None = None
         self._timer: asyncio.TimerHandle | None = None  # ends the journal, or the time of unknown ids
+        self._is_new = True  # whether this process has not accepted any request yet
 
     def start(self) -> None:
         """Looks for other processes; `settled` is set once it is known whether there are any."""
@@ -77,9 +84,11 @@
         If it is not, another process does not answer.  Requests that must not be executed twice are then
         rejected until it answers, or has ended by the rules of the platform.
         """
+        self._is_new = False
         if not self.settled.is_set():
             self._context.log("sibling_unresponsive", rejected_s=_UNRESPONSIVE_S)
             self._registry.shared_ids = UnknownIds()
+            self._events.post(ProcessCountChanged(_UNRESPONSIVE_PROCESS_COUNT, is_new=True))
             self._set_timer(_UNRESPONSIVE_S, self._forget_unresponsive)
 
     def endpoint_list_changed(self) -> None:
@@ -160,7 +169,8 @@
             self._journal.owner_ended(owner)
 
     def process_count_changed(self, count: int) -> None:
-        """Sends the endpoint list to a process that has joined; keeps the journal while there are others."""
+        """Divides the budgets anew, and sends the endpoint list to a process that has joined."""
+        self._events.post(ProcessCountChanged(count, is_new=self._is_new))
         if count > 1:
             self._cancel_timer()
             self._lists.send_list()
@@ -186,6 +196,7 @@
     def _forget_unresponsive(self) -> None:
         if isinstance(self._registry.shared_ids, UnknownIds):
             self._registry.shared_ids = None
+            self._events.post(ProcessCountChanged(1, is_new=False))
 
     def _set_timer(self, delay_s: float, callback: Callable[[], None]) -> None:
         self._cancel_timer()
--- a/tulipnotch/sidecar/sidecar.py
+++ b/tulipnotch/sidecar/sidecar.py
@@ -197,6 +197,7 @@
             inherited.dup(),
             self._context,
             self._registry,
+            self._events,
             endpoint_lists,
             EndpointListLimits.for_memory(self.config.memory_mb),
         )
