--- a/tests/sidecar/handover/test_id_journal.py
+++ b/tests/sidecar/handover/test_id_journal.py
@@ -13,8 +13,9 @@
 
 import pytest
 
-from tulipnotch.sidecar.handover import id_journal
-from tulipnotch.sidecar.handover.id_journal import IdJournal, JournalError
+from tulipnotch.sidecar.handover import id_journal, journal_memory
+from tulipnotch.sidecar.handover.id_journal import IdJournal
+from tulipnotch.sidecar.handover.journal_memory import JournalError, JournalMemory
 from tulipnotch.sidecar.requests.shared_ids import ClaimResult, IdClaim, RetainedId
 
 _PROCESSES = 4
@@ -53,7 +54,7 @@
 
 def open_view(journal: IdJournal, clock: Clock) -> IdJournal:
     """Returns the view of a further process."""
-    return IdJournal(os.dup(journal.descriptor), journal.add_owner(), clock)
+    return IdJournal(JournalMemory(os.dup(journal.descriptor)), journal.add_owner(), clock)
 
 
 def claim(journal: IdJournal, request_id: bytes, retention_us: int = 0) -> ClaimResult:
@@ -150,9 +151,9 @@
 def test_record_that_was_not_finished_does_not_count(first: IdJournal, second: IdJournal) -> None:
     # Guards against a process that is killed between writing a record and counting it.
     claim(first, b"x")
-    header = second._memory[: id_journal._HEADER_BYTES]
+    header = os.pread(first.descriptor, journal_memory._HEADER_BYTES, 0)
     first.release(b"x")
-    second._memory[: id_journal._HEADER_BYTES] = header  # as if the last write had not happened
+    os.pwrite(first.descriptor, header, 0)  # as if the last write had not happened
     assert claim(second, b"x") is ClaimResult.IN_USE
 
 
@@ -203,7 +204,7 @@
     results = _FORK.Queue()
 
     def claim_all(owner: int) -> None:
-        view = IdJournal(os.dup(journal.descriptor), owner)
+        view = IdJournal(JournalMemory(os.dup(journal.descriptor)), owner)
         granted = []
         for number in range(_IDS):
             barrier.wait()
@@ -225,10 +226,10 @@
 
 def test_descriptor_of_anything_else_is_rejected() -> None:
     descriptor = os.memfd_create("other", os.MFD_ALLOW_SEALING)
-    os.ftruncate(descriptor, id_journal._FILE_BYTES)
+    os.ftruncate(descriptor, journal_memory._FILE_BYTES)
     with pytest.raises(JournalError):
-        IdJournal(descriptor, 2)  # its size may change
-    fcntl.fcntl(descriptor, fcntl.F_ADD_SEALS, id_journal._SEALS)
+        JournalMemory(descriptor)  # its size may change
+    fcntl.fcntl(descriptor, fcntl.F_ADD_SEALS, journal_memory._SEALS)
     with pytest.raises(JournalError):
-        IdJournal(descriptor, 2)  # its format is not known
+        JournalMemory(descriptor)  # its format is not known
     os.close(descriptor)
--- a/tulipnotch/sidecar/discovery/client.py
+++ b/tulipnotch/sidecar/discovery/client.py
@@ -94,13 +94,17 @@
         """The version of the list in force; None if it is that of another discovery server."""
         return self._version
 
+    def is_newer(self, version: int) -> bool:
+        """Returns whether this version of a list is newer than the one in force; False if that is unknown."""
+        return self._version is not None and version > self._version
+
     def accept_version(self, version: int) -> bool:
         """Makes a list that this client has not received itself the one in force, if it is newer.
 
         Returns:
             Whether it is newer; the caller then applies it.
         """
-        if self._version is None or version <= self._version:
+        if not self.is_newer(version):
             return False
         self._version = version
         self._revision += 1
--- a/tulipnotch/sidecar/endpoint_updates.py
+++ b/tulipnotch/sidecar/endpoint_updates.py
@@ -69,6 +69,10 @@
         """The address of discovery, as `address:port`."""
         return format_address(self._discovery.address)
 
+    def is_newer(self, version: int) -> bool:
+        """Returns whether this version is newer than that of the list in force."""
+        return self._discovery.is_newer(version)
+
     def complete_list(self) -> DiscoveryResponse | None:
         """Returns the list in force with its version; None if its version can't be compared."""
         version = self._discovery.version
--- a/tulipnotch/sidecar/handover/channel.py
+++ b/tulipnotch/sidecar/handover/channel.py
@@ -21,7 +21,7 @@
     create_socket,
     wait_until_readable,
 )
-from tulipnotch.sidecar.handover.id_journal import JournalError
+from tulipnotch.sidecar.handover.journal_memory import JournalError
 from tulipnotch.sidecar.handover.listener_identity import (
     channel_name,
     is_peer_of_same_user,
@@ -217,7 +217,8 @@
             return False
         try:
             offer = self._user.offer_journal(hello)
-        except (OSError, JournalError):
+        except (OSError, JournalError) as error:
+            self._user.channel_failed(str(error))
             return False
         if not connection.send(offer.welcome, [offer.journal, self._listener.fileno()]):
             self._user.sibling_ended(offer.welcome.owner)
--- a/tulipnotch/sidecar/handover/endpoint_lists.py
+++ b/tulipnotch/sidecar/handover/endpoint_lists.py
@@ -28,6 +28,10 @@
         """The address of discovery, as `address:port`."""
         ...
 
+    def is_newer(self, version: int) -> bool:
+        """Returns whether this version is newer than that of the list in force."""
+        ...
+
     def complete_list(self) -> DiscoveryResponse | None:
         """Returns the list in force with its version; None if its version can't be compared."""
         ...
@@ -76,22 +80,23 @@
         try:
             with open(descriptor, "wb", closefd=False) as file:
                 file.write(encode_endpoint_list(response))
-            self._send(EndpointListChanged(self._source.discovery_address), descriptor)
+            self._send(EndpointListChanged(response.version, self._source.discovery_address), descriptor)
         except OSError:
             pass
         finally:
             os.close(descriptor)
 
     def received(self, message: EndpointListChanged, descriptor: int) -> None:
-        """Applies the list of another process, unless it has another discovery server."""
-        if message.discovery != self._source.discovery_address:
+        """Applies the list of another process if it is newer, and from the same discovery server."""
+        source = self._source
+        if message.discovery != source.discovery_address or not source.is_newer(message.version):
             return
         try:
             body = os.pread(descriptor, self._limits.max_bytes, 0)
             response = decode_endpoint_list(body, self._limits)
         except (OSError, DiscoveryError):
             return
-        self._source.sibling_list_received(response)
+        source.sibling_list_received(response)
 
     def cancel(self) -> None:
         """Cancels the sending that is due."""
--- a/tulipnotch/sidecar/handover/handover.py
+++ b/tulipnotch/sidecar/handover/handover.py
@@ -18,7 +18,8 @@
 from tulipnotch.sidecar.handover.channel import HandoverChannel, Offer
 from tulipnotch.sidecar.handover.connection import ReceivedMessage
 from tulipnotch.sidecar.handover.endpoint_lists import EndpointListExchange, EndpointListSource
-from tulipnotch.sidecar.handover.id_journal import IdJournal, JournalError
+from tulipnotch.sidecar.handover.id_journal import IdJournal
+from tulipnotch.sidecar.handover.journal_memory import JournalError, JournalMemory
 from tulipnotch.sidecar.handover.messages import EndpointListChanged, Hello, Welcome
 from tulipnotch.sidecar.requests.context import SidecarContext
 from tulipnotch.sidecar.requests.request_registry import RequestRegistry
@@ -142,7 +143,7 @@
         ):
             descriptor = received.take_descriptor()
             try:
-                journal = IdJournal(descriptor, welcome.owner)
+                journal = IdJournal(JournalMemory(descriptor), welcome.owner)
             except JournalError:
                 os.close(descriptor)
                 raise
@@ -173,7 +174,8 @@
         self._events.post(ProcessCountChanged(count, is_new=self._is_new))
         if count > 1:
             self._cancel_timer()
-            self._lists.send_list()
+            if not self._is_new:  # a new process has nothing that the others don't have
+                self._lists.send_list()
         elif self._journal is not None:
             self._set_timer(_JOURNAL_LINGER_S, self._close_journal)
 
--- a/tulipnotch/sidecar/handover/messages.py
+++ b/tulipnotch/sidecar/handover/messages.py
@@ -10,6 +10,7 @@
 _HELLO = struct.Struct("!QI")
 _WELCOME = struct.Struct("!II")
 _COUNT = struct.Struct("!I")
+_LIST_VERSION = struct.Struct("!Q")
 MAX_MESSAGE_BYTES = 1_024
 MAX_DESCRIPTORS = 2
 
@@ -56,9 +57,11 @@
     """The sender's endpoint list, which comes in a memory file beside the message.
 
     Attributes:
+        version: Its version.
         discovery: Address of the discovery server that has sent it, since versions differ between servers.
     """
 
+    version: int
     discovery: str
 
 
@@ -74,8 +77,8 @@
             return _HEAD.pack(_VERSION, 2) + _WELCOME.pack(sender, owner)
         case ProcessCount(count):
             return _HEAD.pack(_VERSION, 3) + _COUNT.pack(count)
-        case EndpointListChanged(discovery):
-            return _HEAD.pack(_VERSION, 4) + discovery.encode()
+        case EndpointListChanged(version, discovery):
+            return _HEAD.pack(_VERSION, 4) + _LIST_VERSION.pack(version) + discovery.encode()
 
 
 def decode(datagram: bytes) -> Message:
@@ -102,6 +105,7 @@
         case 3:
             return ProcessCount(*_COUNT.unpack(body))
         case 4:
-            return EndpointListChanged(body.decode())
+            (version,) = _LIST_VERSION.unpack_from(body)
+            return EndpointListChanged(version, body[_LIST_VERSION.size :].decode())
         case _:
             raise MessageError(f"kind {kind} is not known")
--- a/tulipnotch/sidecar/sidecar.py
+++ b/tulipnotch/sidecar/sidecar.py
@@ -165,16 +165,16 @@
         Raises:
             OSError: An address cannot be bound.
         """
+        handover = self._handover = None if inherited is None else self._create_handover(inherited)
         reserved = await bind_with_retry(self.config.listen) if inherited is None else None
         if self._context.settings.limits.may_send_peer_messages and self.config.peer_listen is not None:
             await self._peers.listen(self.config.peer_listen)
         self._upstream.endpoints_updated(self.config.known)
         self._events.post(self.config.known.to_event(EndpointUpdateKind.CACHED))
         self._discovery.start()
-        if inherited is not None:
-            self._handover = self._create_handover(inherited)
-            self._handover.start()
-            await self._startup.take_over(inherited, self._handover)
+        if inherited is not None and handover is not None:
+            handover.start()
+            await self._startup.take_over(inherited, handover)
         elif reserved is not None:
             await self._startup.listen(reserved, self._context.settings.discovery_mode)
             if not self.config.known.endpoints:
