--- a/tests/sidecar/test_upgrade_ids.py
+++ b/tests/sidecar/test_upgrade_ids.py
@@ -3,9 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+import fcntl
 import os
 import signal
 import socket
+from collections.abc import Iterator
+from contextlib import contextmanager
 from pathlib import Path
 
 import pytest
@@ -175,6 +178,22 @@
     run_async(work)
 
 
+def test_journal_that_a_suspended_process_has_locked_delays_no_request_for_long(tmp_path: Path) -> None:
+    # Guards against requests that wait for a process which was suspended while it wrote to the journal.
+    async def work() -> None:
+        async with running_upgrade(tmp_path) as upgrade, upgrade.start_new() as new:
+            await stop_accepting(upgrade.old)
+            with _locked_journal(new):
+                async with asyncio.timeout(_RESPONSE_TIMEOUT_S):
+                    for number in range(20):
+                        assert (await upgrade.send("check", f"safe-{number}")).status == 200
+                        assert (await upgrade.send("lodge", f"unsafe-{number}")).status == 409
+            assert (await upgrade.send("lodge", "unsafe")).status == 200
+            assert await read_metric(new, "app.request_ids_unknown") == 20
+
+    run_async(work)
+
+
 def test_new_process_rejects_what_may_have_run_while_the_old_one_never_answers(tmp_path: Path) -> None:
     # Guards against a takeover that waits without bound, or that believes a silent process to have no ids.
     async def work() -> None:
@@ -308,6 +327,16 @@
             await asyncio.sleep(0.05)
 
 
+@contextmanager
+def _locked_journal(process: SidecarProcess) -> Iterator[None]:
+    """Locks the journal that a process shares, as another process does that is suspended in a step."""
+    folder = Path(f"/proc/{process.process.pid}/fd")
+    path = next(each for each in folder.iterdir() if "request-ids" in str(each.readlink()))
+    with path.open("r+b", buffering=0) as journal:
+        fcntl.lockf(journal, fcntl.LOCK_EX, 1)
+        yield
+
+
 def _connect_stranger(upgrade: Upgrade) -> socket.socket:
     stranger = create_socket()
     stranger.connect(upgrade.channel_name)
