Requests that were sent at once are each rejected, not closed over

Cause: where the end of the client may wait behind what is unread, the request was rejected like a malformed one, whose close discards all that follows. What was read has to get a response.

Fix: such a request and all that follow on the connection get a 503 each, and the last one closes it.

--- /dev/null
+++ b/tests/sidecar/downstream/test_pipelined_requests.py
@@ -0,0 +1,52 @@
+"""Clients that send many requests at once: each of them gets a response, in order."""
+
+from __future__ import annotations
+
+import asyncio
+from pathlib import Path
+
+import pytest
+from loopback import OK_RESPONSE, ReceivedRequest, http_request, run_async, wait_until
+from running import read_metric, sidecar_with_server
+
+_REQUESTS = 24
+_PIPELINES = 3
+
+
+@pytest.mark.parametrize("body_bytes", [0, 8 << 10, 60_000])
+def test_all_requests_are_responded_to_when_much_is_unread_behind_them(
+    body_bytes: int, tmp_path: Path
+) -> None:
+    # Guards against closing the connection over requests that were sent behind a rejected one (review/7).
+    async def work() -> None:
+        received_ids: list[str] = []
+        released = asyncio.Event()
+
+        async def respond(received: ReceivedRequest) -> bytes:
+            received_ids.append(received.headers["request-id"])
+            await released.wait()
+            return OK_RESPONSE
+
+        async with sidecar_with_server(respond, tmp_path) as running:
+            statuses: dict[str, int] = {}
+            for pipeline in range(_PIPELINES):
+                ids = [f"{pipeline}-{number}" for number in range(_REQUESTS)]
+                released.clear()
+                client = await running.connect()
+                for request_id in ids:
+                    client.send(
+                        http_request("lodge", timeout="4.0", body=bytes(body_bytes), Request_Id=request_id)
+                    )
+                # The others wait in the system's buffers while the first one has no response.
+                await wait_until(lambda first=ids[0]: first in received_ids)  # type: ignore[misc]
+                released.set()
+                for request_id in ids:
+                    statuses[request_id] = (await client.read_response()).status
+            assert set(statuses.values()) <= {200, 503}
+            assert received_ids == [each for each, status in statuses.items() if status == 200]
+            assert all(statuses[f"{pipeline}-0"] == 200 for pipeline in range(_PIPELINES))
+            rejected = list(statuses.values()).count(503)
+            assert await read_metric(running, "app.downstream_requests.lodge.rejected") == rejected
+            assert (rejected == 0) == (body_bytes == 0)
+
+    run_async(work)
--- a/tests/sidecar/requests/test_slow_responses.py
+++ b/tests/sidecar/requests/test_slow_responses.py
@@ -19,15 +19,13 @@
     within_timeout,
 )
 
+from tulipnotch.sidecar.http1.messages import encode_chunk
+
 _LONG_BODY = bytes(100_000)
 _OK = b"HTTP/1.1 200 OK\r\n"
 _CHUNKED = _OK + b"Transfer-Encoding: chunked\r\n\r\n"
 
 
-def _chunk(data: bytes) -> bytes:
-    return b"%x\r\n%s\r\n" % (len(data), data)
-
-
 def _with_length(body: bytes) -> bytes:
     return _OK + b"Content-Length: %d\r\n\r\n" % len(body)
 
@@ -68,9 +66,9 @@
 
 _SLOW_RESPONSES = [
     pytest.param([_with_length(_LONG_BODY), _LONG_BODY], _LONG_BODY, id="late body with length"),
-    pytest.param([_CHUNKED, _chunk(_LONG_BODY) + b"0\r\n\r\n"], _LONG_BODY, id="late chunked body"),
+    pytest.param([_CHUNKED, encode_chunk(_LONG_BODY) + b"0\r\n\r\n"], _LONG_BODY, id="late chunked body"),
     pytest.param(
-        [_CHUNKED + _chunk(b"x" * 1_000), _chunk(_LONG_BODY) + b"0\r\n\r\n"],
+        [_CHUNKED + encode_chunk(b"x" * 1_000), encode_chunk(_LONG_BODY) + b"0\r\n\r\n"],
         b"x" * 1_000 + _LONG_BODY,
         id="chunked body in pieces",
     ),
@@ -155,7 +153,7 @@
 def test_beginning_of_a_response_is_passed_on_within_two_seconds() -> None:
     # Guards against holding back for a retry what its server gives; users allow 2 s.
     async def work() -> None:
-        server = _PiecewiseServer([_CHUNKED + _chunk(b"x" * 1_000)])
+        server = _PiecewiseServer([_CHUNKED + encode_chunk(b"x" * 1_000)])
         async with sidecar_harness(server.respond) as harness:
             client = await harness.connect()
             client.send(http_request("lodge", timeout="4.0"))
--- a/tests/sidecar/test_upgrade_ids.py
+++ b/tests/sidecar/test_upgrade_ids.py
@@ -161,7 +161,7 @@
     run_async(work)
 
 
-def test_ids_of_a_suspended_process_are_known_without_its_answer(tmp_path: Path) -> None:
+def test_ids_of_a_suspended_process_are_known_without_its_response(tmp_path: Path) -> None:
     # Guards against a new process that waits for an old one that hangs in the overlap.
     async def work() -> None:
         async with running_upgrade(tmp_path) as upgrade:
@@ -194,7 +194,7 @@
     run_async(work)
 
 
-def test_new_process_rejects_what_may_have_run_while_the_old_one_never_answers(tmp_path: Path) -> None:
+def test_new_process_rejects_what_may_have_run_while_the_old_one_never_responds(tmp_path: Path) -> None:
     # Guards against a takeover that waits without bound, or that believes a silent process to have no ids.
     async def work() -> None:
         async with running_upgrade(tmp_path) as upgrade:
@@ -217,7 +217,7 @@
     run_async(work)
 
 
-def test_new_process_serves_all_classes_once_a_silent_process_must_have_ended(tmp_path: Path) -> None:
+def test_new_process_serves_all_classes_once_an_unresponsive_process_must_have_ended(tmp_path: Path) -> None:
     # Guards against rejections without end if the old process is never heard of.
     async def work() -> None:
         async with running_upgrade(tmp_path) as upgrade:
--- a/tulipnotch/sidecar/downstream/client_input.py
+++ b/tulipnotch/sidecar/downstream/client_input.py
@@ -31,6 +31,7 @@
         "_is_held",
         "_request",
         "_transport",
+        "is_end_hidden",
         "is_paused",
         "progress",
     )
@@ -43,6 +44,7 @@
         self._request: Request | None = None
         self._backpressure: UploadBackpressure | None = None
         self._is_held = False
+        self.is_end_hidden = False
         self.is_paused = False
         self.progress = TransferProgress()
 
@@ -61,11 +63,16 @@
         """Whether the client has closed the connection; bytes before its end may be unread."""
         return is_peer_closed(self._input_poll)
 
-    @property
-    def may_hide_disconnect(self) -> bool:
-        """Whether so much is unread that the end of the connection may not have arrived behind it."""
+    def may_hide_disconnect(self, *, is_pipelined: bool) -> bool:
+        """Returns whether the end of the connection may not have arrived, behind what is unread.
+
+        It may if much is unread behind a pipelined request.  From then on it may whatever is unread, since
+        the client's system can hold more, which arrives as the sidecar reads.
+        """
         transport = self._open_transport
-        return transport is not None and (unread_bytes(transport) or 0) > _MAX_VISIBLE_BYTES
+        if is_pipelined and transport is not None and (unread_bytes(transport) or 0) > _MAX_VISIBLE_BYTES:
+            self.is_end_hidden = True
+        return self.is_end_hidden
 
     def pause(self) -> None:
         """Stops reading until `resume`."""
--- a/tulipnotch/sidecar/downstream/connection.py
+++ b/tulipnotch/sidecar/downstream/connection.py
@@ -251,6 +251,9 @@
             self._owner.lifecycle.is_draining
             or self.state is ConnectionState.CLOSING
             or (request is not None and not request.keep_alive)
+            or (
+                self._input.is_end_hidden and not self._reader.has_pending_input and not self.has_unread_input
+            )
         )
 
     def _finish_exchange(self, *, closing: bool) -> None:
@@ -474,9 +477,11 @@
             self.abort(CloseReason.CLIENT_DISCONNECTED)
             return
         try:
-            if self._is_pipelined and is_complete and self._input.may_hide_disconnect:
-                raise BadRequestError("too much was sent behind this request", 503)
             incoming = self._owner.validate_request(request, self._classes)
+            if is_complete and self._input.may_hide_disconnect(is_pipelined=self._is_pipelined):
+                # What is unread is read on, since requests in it have to get a response too.
+                self._owner.handler.request_rejected(self, incoming)
+                return
             self._deduct_accept_delay(incoming, is_complete=is_complete)
             self._request_number = self._owner.handler.request_received(self, incoming)
             if self._request_number is not None and not request.body.is_complete:
--- a/tulipnotch/sidecar/downstream/interfaces.py
+++ b/tulipnotch/sidecar/downstream/interfaces.py
@@ -32,6 +32,10 @@
         """
         ...
 
+    def request_rejected(self, connection: DownstreamConnection, request: IncomingRequest) -> None:
+        """Rejects a complete request that the connection does not pass on, with 503."""
+        ...
+
     def upload_timed_out(self, number: int) -> None:
         """Handles that the client of an incomplete request may have waited for its whole timeout."""
         ...
--- a/tulipnotch/sidecar/requests/request_receiver.py
+++ b/tulipnotch/sidecar/requests/request_receiver.py
@@ -89,15 +89,19 @@
         if result is ClaimResult.POSSIBLY_EXECUTED:
             raise BadRequestError("request-id is that of a request that may have run", 409)
         if result is ClaimResult.LIMIT_REACHED:
-            telemetry.request_ended(incoming.class_name, RequestResult.REJECTED)
             telemetry.request_rejected(None)
-            connection.send_response(503, [], b"")
+            self.request_rejected(connection, incoming)
             return
         # Not 503, which would promise that the request was not executed under this id.
         telemetry.request_ended(incoming.class_name, RequestResult.FAILED)
         telemetry.request_id_unknown()
         connection.send_response(409, [], b"request-id may be that of a request that may have run")
 
+    def request_rejected(self, connection: DownstreamConnection, incoming: IncomingRequest) -> None:
+        """Rejects a request that the connection can't have sent on; a retry of its client is harmless."""
+        self._context.telemetry.request_ended(incoming.class_name, RequestResult.REJECTED)
+        connection.send_response(503, [], b"")
+
     def _body_completed(self, request: OpenRequest) -> None:
         """Starts the request's timeout, now that the last byte of its body was received.
 
