The time of a pipelined request runs while it waits for the one before

Cause: the remaining time was counted from when a request was passed on.

Fix: it runs from the first moment since which there has always been something behind the current request.

The new test can't run on the code before, which has no such moment; with the deduction taken out its two cases fail by their assertions.

--- a/tests/sidecar/downstream/test_pipelined_requests.py
+++ b/tests/sidecar/downstream/test_pipelined_requests.py
@@ -6,7 +6,15 @@
 from pathlib import Path
 
 import pytest
-from loopback import OK_RESPONSE, ReceivedRequest, http_request, run_async, wait_until
+from loopback import (
+    OK_RESPONSE,
+    ReceivedRequest,
+    blocking_script,
+    http_request,
+    run_async,
+    sidecar_harness,
+    wait_until,
+)
 from running import read_metric, sidecar_with_server
 
 _REQUESTS = 24
@@ -50,3 +58,32 @@
             assert (rejected == 0) == (body_bytes == 0)
 
     run_async(work)
+
+
+@pytest.mark.parametrize("waited_s", [0.7, 2.0])
+def test_time_of_a_pipelined_request_runs_while_it_waits(waited_s: float) -> None:
+    # Guards against requests that get their whole time anew when the one before has its response (review/10).
+    async def work() -> None:
+        release, script = blocking_script()
+        async with sidecar_harness(script) as harness:
+            client = await harness.connect()
+            client.send(b"".join(http_request("check", timeout="1.0") for _ in range(3)))
+            await wait_until(lambda: len(harness.received_requests) == 1)
+            (connection,) = harness.sidecar.downstream.connections()
+            await wait_until(lambda: connection._pending_since is not None)
+            assert connection._pending_since is not None
+            connection._pending_since -= waited_s  # as if the server had taken so long
+            release.set()
+            statuses = [(await client.read_response()).status for _ in range(3)]
+            assert (await client.send_request("check", timeout="1.0")).status == 200  # its time is its own
+        if waited_s > 1.0:
+            assert statuses == [200, 503, 503]
+        else:
+            assert statuses == [200, 200, 200]
+            first, *pipelined, last = (
+                float(each.headers["request-timeout"]) for each in harness.received_requests
+            )
+            assert max(pipelined) <= 1.0 - waited_s
+            assert min(first, last) > 1.0 - waited_s
+
+    run_async(work)
--- a/tulipnotch/sidecar/downstream/connection.py
+++ b/tulipnotch/sidecar/downstream/connection.py
@@ -51,6 +51,7 @@
         "_is_pipelined",
         "_is_writing_paused",
         "_owner",
+        "_pending_since",
         "_reader",
         "_request",
         "_request_number",
@@ -82,6 +83,8 @@
         self._request_number: int | None = None  # the handler's number, while the response is pending
         self._stream: ResponseStream | None = None  # set while a response is streamed
         self._is_pipelined = False  # whether the next request has waited for the response to the one before
+        # Since when there is input behind the current request (s, event loop time); None: there is none.
+        self._pending_since: float | None = None
         self._is_writing_paused = False
         self._counted_output = CountedBytes(owner.response_budget)
         self._untaken_bytes = 0  # of its output, when it was last checked whether the client reads
@@ -265,6 +268,8 @@
             return
         self._set_state(ConnectionState.IDLE)
         self._is_pipelined = self._reader.has_pending_input
+        if not self._is_pipelined:
+            self._pending_since = None
         if self._is_pipelined:  # received with the previous request, so no read event follows
             self._set_state(ConnectionState.READING)
             self._owner.connection_table.add_buffered_bytes(self, self._reader.pending_input_bytes)
@@ -463,6 +468,8 @@
             return
         if self._reader.has_pending_input:
             self._input.pause()
+            if self._pending_since is None:
+                self._pending_since = asyncio.get_running_loop().time()
 
     def _dispatch_request(self, request: Request) -> None:
         self._request = request
@@ -482,7 +489,7 @@
                 # What is unread is read on, since requests in it have to get a response too.
                 self._owner.handler.request_rejected(self, incoming)
                 return
-            self._deduct_accept_delay(incoming, is_complete=is_complete)
+            self._deduct_waiting_time(incoming, is_complete=is_complete)
             self._request_number = self._owner.handler.request_received(self, incoming)
             if self._request_number is not None and not request.body.is_complete:
                 request.body.on_consumed = self._input.resume
@@ -491,9 +498,11 @@
         except BadRequestError as error:
             self.reject(error.status, error.text)
 
-    def _deduct_accept_delay(self, incoming: IncomingRequest, *, is_complete: bool) -> None:
+    def _deduct_waiting_time(self, incoming: IncomingRequest, *, is_complete: bool) -> None:
         """Reduces the remaining time, since the client's timeout runs from when it sent the request.
 
+        A pipelined request may have been sent as early as the first one behind which there was always more.
+
         The client may also have sent all of a body that is still being received.  Once its timeout has
         passed, it may have disconnected too: the end of the connection is then behind the rest of the body.
 
@@ -501,6 +510,8 @@
             BadRequestError: The client has timed out, and its body is incomplete.
         """
         delay_us, self._accept_delay_s = int(self._accept_delay_s * 1e6), 0.0
+        if self._is_pipelined and self._pending_since is not None:
+            delay_us += int((asyncio.get_running_loop().time() - self._pending_since) * 1e6)
         if delay_us >= incoming.remaining_us and not is_complete:
             raise BadRequestError("the timeout has passed", 503)
         incoming.remaining_us = max(incoming.remaining_us - delay_us, 1)
