Soak: an id that was used again before its request was complete is no violation

Trace: the first client sends its request in two parts, the second one sends the same id between them and is served; the first request is complete 0.06 to 0.26 s later, and only then its client disconnects. With one process the same is allowed: an id is in use from its complete request on.

--- a/tests/soak/test_rule_checker.py
+++ b/tests/soak/test_rule_checker.py
@@ -250,6 +250,15 @@
     )
 
 
+def test_rule_checker_accepts_reuse_of_an_id_that_was_served_before_its_request_was_complete() -> None:
+    original = _client_attempt(
+        request_class=_PAY, sent_at=_SENT_AT + 0.2, status=0, ended_at=0.0, disconnected_at=_SENT_AT + 0.5
+    )
+    records = _id_reuse(original, status=200)
+    records.server_attempts = [_REUSED, _server_attempt(0.21)]
+    assert _violated_rules(records) == []
+
+
 _REUSED = _server_attempt(0.11, is_id_reused=True)
 
 
