--- a/tests/sidecar/downstream/test_pipelined_requests.py
+++ b/tests/sidecar/downstream/test_pipelined_requests.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from functools import partial
 from pathlib import Path
 
 import pytest
@@ -46,7 +47,7 @@
                         http_request("lodge", timeout="4.0", body=bytes(body_bytes), Request_Id=request_id)
                     )
                 # The others wait in the system's buffers while the first one has no response.
-                await wait_until(lambda first=ids[0]: first in received_ids)  # type: ignore[misc]
+                await wait_until(partial(received_ids.__contains__, ids[0]))
                 released.set()
                 for request_id in ids:
                     statuses[request_id] = (await client.read_response()).status
--- a/tests/sidecar/handover/test_id_journal_any_sequence.py
+++ b/tests/sidecar/handover/test_id_journal_any_sequence.py
@@ -28,12 +28,24 @@
 )
 
 
+class _Memory(JournalMemory):
+    """The memory as a process sees it that can get the lock, or can't."""
+
+    can_lock = True
+
+    def lock(self) -> bool:
+        return self.can_lock
+
+    def unlock(self) -> None:
+        pass
+
+
 @dataclass
 class _Process:
-    """A process: its view of the journal, and whether it can get the lock."""
+    """A process: its view of the journal and of the memory."""
 
     journal: IdJournal
-    can_lock: bool = True
+    memory: _Memory
     granted: set[bytes] = field(default_factory=set)  # what it has claimed and not released
 
 
@@ -42,15 +54,12 @@
 
     def __init__(self) -> None:
         self.now = 1_000
-        first = IdJournal.create(self.clock)
-        self.processes = [_Process(first)]
-        for _ in range(_PROCESSES - 1):
-            memory = JournalMemory(os.dup(first.descriptor))
-            self.processes.append(_Process(IdJournal(memory, first.add_owner(), self.clock)))
-        for process in self.processes:
-            memory = process.journal._memory
-            memory.lock = lambda process=process: process.can_lock  # type: ignore[method-assign, misc]
-            memory.unlock = lambda: None  # type: ignore[method-assign]
+        created = JournalMemory.create()
+        self.processes: list[_Process] = []
+        for owner in range(1, _PROCESSES + 1):
+            memory = _Memory(os.dup(created.descriptor))
+            self.processes.append(_Process(IdJournal(memory, owner, self.clock), memory))
+        created.close()
         self.retained_until = dict.fromkeys(_IDS, 0)
 
     def clock(self) -> int:
@@ -61,11 +70,11 @@
         is_taken = any(request_id in each.granted for each in self.processes)
         is_retained = self.now < self.retained_until[request_id]
         if result is ClaimResult.GRANTED:
-            assert process.can_lock
+            assert process.memory.can_lock
             assert not is_taken
             assert not is_retained
             process.granted.add(request_id)
-        elif process.can_lock and all(each.can_lock for each in self.processes):
+        elif all(each.memory.can_lock for each in self.processes):
             assert is_taken or is_retained  # without lost locks, nothing is rejected needlessly
 
     def release(self, process: _Process, request_id: bytes) -> None:
@@ -90,8 +99,8 @@
             case "wait":
                 self.now += 1
             case _:
-                process.can_lock = action == "get lock"
-                if process.can_lock:
+                process.memory.can_lock = action == "get lock"
+                if process.memory.can_lock:
                     process.journal._append_queued()
 
     def close(self) -> None:
--- a/tests/sidecar/test_upgrade_ids.py
+++ b/tests/sidecar/test_upgrade_ids.py
@@ -9,6 +9,7 @@
 import socket
 from collections.abc import Iterator
 from contextlib import contextmanager
+from functools import partial
 from pathlib import Path
 
 import pytest
@@ -286,7 +287,7 @@
                 await stop_accepting(upgrade.old)
                 assert (await upgrade.send("lodge", "held")).status == 409
                 for stranger in strangers:
-                    await wait_until(lambda stranger=stranger: _has_ended(stranger))  # type: ignore[misc]
+                    await wait_until(partial(_has_ended, stranger))
                     stranger.close()
 
     run_async(work)
