--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -63,9 +63,9 @@
         return await awaitable
 
 
-async def wait_until(condition: Callable[[], bool]) -> None:
-    """Returns once the condition holds; raises TimeoutError after `TEST_TIMEOUT_S`."""
-    async with asyncio.timeout(TEST_TIMEOUT_S):
+async def wait_until(condition: Callable[[], bool], timeout_s: float = TEST_TIMEOUT_S) -> None:
+    """Returns once the condition holds; raises TimeoutError after `timeout_s`."""
+    async with asyncio.timeout(timeout_s):
         while not condition():
             await asyncio.sleep(0.005)
 
--- a/tests/running.py
+++ b/tests/running.py
@@ -186,9 +186,11 @@
     return int(value)
 
 
-async def wait_for_metric(running: SidecarProcess, name: str, value: int) -> None:
-    """Waits until a metric of the control endpoint has this value."""
-    async with asyncio.timeout(TEST_TIMEOUT_S):
+async def wait_for_metric(
+    running: SidecarProcess, name: str, value: int, timeout_s: float = TEST_TIMEOUT_S
+) -> None:
+    """Waits until a metric of the control endpoint has this value; raises TimeoutError after `timeout_s`."""
+    async with asyncio.timeout(timeout_s):
         while await read_metric(running, name) != value:
             await asyncio.sleep(0.01)
 
--- a/tests/sidecar/discovery/test_discovery_client.py
+++ b/tests/sidecar/discovery/test_discovery_client.py
@@ -18,61 +18,19 @@
     http_response,
     run_async,
     wait_until,
-    within_timeout,
 )
+from recording_observer import RecordingObserver
 from slow_to_accept import FullAcceptQueueServer
 
-from tulipnotch.load_balancing.settings import DiscoveryMode, Rules, Settings
 from tulipnotch.sidecar.addresses import parse_address
 from tulipnotch.sidecar.discovery import poll_schedule
-from tulipnotch.sidecar.discovery.client import DiscoveryClient
-from tulipnotch.sidecar.discovery.endpoint_list_codec import (
-    DiscoveryResponse,
-    parse_endpoint_list,
-)
+from tulipnotch.sidecar.discovery.endpoint_list_codec import DiscoveryResponse
 from tulipnotch.sidecar.discovery.poll_schedule import PollSchedule
 
 SHORT_SCHEDULE = PollSchedule(1.2)  # short enough for a watch that hangs to be overdue within the test
 LONG_SCHEDULE = PollSchedule(8 * TEST_TIMEOUT_S)  # so long that nothing times out within the test
 
 
-class RecordingObserver:
-    """An observer with a client of its own; queues its notifications, a failed call as None."""
-
-    def __init__(
-        self,
-        server: ScriptedServer,
-        *,
-        pushed: bool = False,
-        schedule: PollSchedule | None = None,
-        max_poll_interval_us: int = 3_600_000_000,  # so long that only the schedule counts
-    ) -> None:
-        self.notifications: asyncio.Queue[DiscoveryResponse | None] = asyncio.Queue()
-        self.faults: list[str] = []
-        settings = Settings(
-            (),
-            instance_index=0,
-            discovery_mode=DiscoveryMode.PUSHED if pushed else DiscoveryMode.POLLED,
-            rules=Rules(drain_grace_us=250_000, max_poll_interval_us=max_poll_interval_us),
-        )
-        known = parse_endpoint_list(
-            {"version": 41, "full": True, "servers": [endpoint_entry("s-0", f"{HOST}:9")]}
-        )
-        self.client = DiscoveryClient(parse_address(server.address), settings, known, self, schedule)
-
-    def endpoints_received(self, response: DiscoveryResponse) -> None:
-        self.notifications.put_nowait(response)
-
-    def call_failed(self) -> None:
-        self.notifications.put_nowait(None)
-
-    def fault_changed(self, fault: str) -> None:
-        self.faults.append(fault)
-
-    async def next_notification(self) -> DiscoveryResponse | None:
-        return await within_timeout(self.notifications.get())
-
-
 def test_subscribe_receives_the_list_at_once_and_then_waits_for_events() -> None:
     async def work() -> None:
         server = ScriptedDiscovery()
