Each response of discovery is applied, whatever became of the call it belongs to

Cause: a call to discovery belonged to whoever waited for it. A watch used the first of its calls that had ended and cancelled the others, also one whose response had arrived; a reload, a new subscription and a timeout cancelled theirs in the same way.

Change: OutstandingCalls owns all calls and lets each end at discovery. Whoever no longer waits detaches; each response is judged by its version and by what was in force when its call began (EndpointListState). What a previous discovery withdraws is withdrawn until the current one has sent its complete list again; it makes nothing ready. At the limit of eight calls the latest detached one is ended, so that reloads faster than discovery do not keep all calls from a response. Lists applied and discarded, and calls ended by the process, are logged and counted.

Tests of logs pass over the line 'endpoint list applied'; a takeover without discovery now also logs the failed call, whose timeout ends in the same instant as the takeover's wait.

--- a/tests/external_names/test_control_names.py
+++ b/tests/external_names/test_control_names.py
@@ -21,6 +21,7 @@
 app.upstream_requests app.upstream_requests_withheld app.upstream_requests_recalled
 app.responses_stalled
 app.request_ids_unknown
+app.endpoint_lists_applied
 app.config_reloads app.config_reload_errors
 app.client_closes.client_left app.client_closes.answered app.client_closes.idle app.client_closes.silent
 app.client_closes.rejected app.client_closes.unread app.client_closes.answer_broken
@@ -35,6 +36,10 @@
 app.malformed_responses.body_too_large
 app.malformed_responses.too_many_interim app.malformed_responses.before_request
 app.malformed_responses.stalled app.malformed_responses.not_awaited
+app.endpoint_lists_discarded.stale app.endpoint_lists_discarded.known
+app.endpoint_lists_discarded.incomparable
+app.discovery_calls_ended.no_response app.discovery_calls_ended.too_many
+app.discovery_calls_ended.shutdown
 app.pending app.members app.members_unavailable app.invariant_violations
 app.resident_bytes app.peak_resident_bytes app.request_buffer_bytes app.response_buffer_bytes
 app.paused_uploads app.event_loop_delay_ms app.max_event_loop_delay_ms
@@ -63,6 +68,7 @@
             del telemetry["app.event_loop_delay_ms"], telemetry["app.max_event_loop_delay_ms"]
             assert {name for name, value in telemetry.items() if value != "0"} == {
                 "app.members",
+                "app.endpoint_lists_applied",
                 "app.resident_bytes",
                 "app.peak_resident_bytes",
             }
--- a/tests/sidecar/discovery/recording_observer.py
+++ b/tests/sidecar/discovery/recording_observer.py
@@ -26,6 +26,7 @@
         max_poll_interval_us: int = 3_600_000_000,  # so long that only the schedule counts
     ) -> None:
         self.notifications: asyncio.Queue[DiscoveryResponse | None] = asyncio.Queue()
+        self.failure_count = 0
         self.faults: list[str] = []
         self.states: dict[str, EndpointState] = {}  # of the listed endpoints, by name
         self.events: list[object] = []
@@ -48,6 +49,7 @@
         self.notifications.put_nowait(response)
 
     def call_failed(self) -> None:
+        self.failure_count += 1
         self.notifications.put_nowait(None)
 
     def fault_changed(self, fault: str) -> None:
--- a/tests/sidecar/discovery/test_initial_polling.py
+++ b/tests/sidecar/discovery/test_initial_polling.py
@@ -34,6 +34,9 @@
     def fault_changed(self, fault: str) -> None:
         pass
 
+    def event_occurred(self, event: object) -> None:
+        pass
+
 
 async def _measure_time_to_first_list_s(fault: str, *, pushed: bool = False) -> float:
     """Measures the time to the first list when discovery returns just after a call has started."""
--- a/tests/sidecar/discovery/test_outstanding_calls_of_a_process.py
+++ b/tests/sidecar/discovery/test_outstanding_calls_of_a_process.py
@@ -54,3 +54,17 @@
 ) -> None:
     # Guards against requests to a draining server until the response to the next call.
     run_async(lambda: _assert_no_request_after_drain((0, 1), 1, mode, tmp_path))
+
+
+@pytest.mark.alone
+@pytest.mark.parametrize("mode", ["on_request", "pushed"])
+@pytest.mark.parametrize(
+    ("order", "draining_call"),
+    [((1, 0), 1), ((0, 1), 0), ((1, 0), 0)],
+    ids=["hedge", "watch", "watch second"],
+)
+def test_draining_server_gets_no_request_when_watch_and_hedge_are_answered_at_once(
+    order: tuple[int, int], draining_call: int, mode: str, tmp_path: Path
+) -> None:
+    # Guards against requests to a draining server that the other one of two responses announces.
+    run_async(lambda: _assert_no_request_after_drain(order, draining_call, mode, tmp_path))
--- a/tulipnotch/sidecar/control/telemetry.py
+++ b/tulipnotch/sidecar/control/telemetry.py
@@ -10,6 +10,7 @@
 from enum import StrEnum, unique
 
 from tulipnotch.load_balancing.outcomes import Outcome, TerminationReason
+from tulipnotch.sidecar.discovery.call_events import DiscardReason, EndReason
 from tulipnotch.sidecar.http1.response_fault import ResponseFault
 from tulipnotch.sidecar.requests.invariants import CloseReason
 
@@ -82,6 +83,9 @@
         self._failures = dict.fromkeys(TERMINATION_REASON_NAMES, 0)
         self._closes = dict.fromkeys(CLOSE_REASON_NAMES, 0)
         self._malformed_responses = dict.fromkeys(ResponseFault, 0)
+        self._lists_applied = 0
+        self._lists_discarded = dict.fromkeys(DiscardReason, 0)
+        self._discovery_calls_ended = dict.fromkeys(EndReason, 0)
         self._reloads = 0
         self._reload_errors = 0
         self.add_classes(classes)
@@ -138,6 +142,18 @@
         """Counts a response of a server that was malformed, by its fault."""
         self._malformed_responses[fault] += 1
 
+    def endpoint_list_applied(self) -> None:
+        """Counts an endpoint list, or a part of one, that was applied."""
+        self._lists_applied += 1
+
+    def endpoint_list_discarded(self, reason: DiscardReason) -> None:
+        """Counts an endpoint list that was not applied, by its reason."""
+        self._lists_discarded[reason] += 1
+
+    def discovery_call_ended(self, reason: EndReason) -> None:
+        """Counts a call to discovery that this process has ended, by its reason."""
+        self._discovery_calls_ended[reason] += 1
+
     def configuration_reloaded(self) -> None:
         """Counts a configuration that was applied at a reload."""
         self._reloads += 1
@@ -159,6 +175,7 @@
             "upstream_requests_recalled": self._attempts_recalled,
             "responses_stalled": self._responses_stalled,
             "request_ids_unknown": self._request_ids_unknown,
+            "endpoint_lists_applied": self._lists_applied,
             "config_reloads": self._reloads,
             "config_reload_errors": self._reload_errors,
         }
@@ -173,6 +190,10 @@
             metrics[f"failures.{TERMINATION_REASON_NAMES[cause]}"] = count
         for fault, count in self._malformed_responses.items():
             metrics[f"malformed_responses.{fault.value}"] = count
+        for discard_reason, count in self._lists_discarded.items():
+            metrics[f"endpoint_lists_discarded.{discard_reason.value}"] = count
+        for end_reason, count in self._discovery_calls_ended.items():
+            metrics[f"discovery_calls_ended.{end_reason.value}"] = count
         return [f"app.{name}={value}" for name, value in (metrics | dict(gauges)).items()]
 
 
--- a/tulipnotch/sidecar/discovery/discovery_connection.py
+++ b/tulipnotch/sidecar/discovery/discovery_connection.py
@@ -53,24 +53,26 @@
         if self._connection is not None:
             self._connection.close()
 
+    @property
+    def has_response_bytes(self) -> bool:
+        """Whether a response has arrived in part, or waits to be read."""
+        return self._connection is not None and self._connection.has_response_bytes
+
     async def call(self, after_version: int | None, wait_ms: int) -> DiscoveryResponse:
-        """Calls discovery once.
+        """Calls discovery once; a response may come at any time, so the caller limits how long it waits.
 
         Args:
             after_version: The version since which changes are requested; None: the complete list.
             wait_ms: How long discovery may wait for a change before it responds; 0: not at all.
 
         Raises:
-            DiscoveryCallError: There is no response in time, or none that can be used.
+            DiscoveryCallError: There is no connection in time, or no response that can be used.
         """
         target = _PATH if after_version is None else f"{_PATH}?after={after_version}&wait_ms={wait_ms}"
-        schedule = self._schedule
-        timeout_s = wait_ms / 1_000 + schedule.response_timeout_s if wait_ms else schedule.call_timeout_s
         try:
-            async with asyncio.timeout(timeout_s):
-                response = await self._get(target.encode())
+            response = await self._get(target.encode())
         except TimeoutError:
-            raise DiscoveryCallError("no response within the time limit") from None
+            raise DiscoveryCallError("no connection within the time limit") from None
         except OSError as error:
             raise DiscoveryCallError(f"cannot connect: {error}") from None
         if isinstance(response, ExchangeFailure):
--- a/tulipnotch/sidecar/discovery/poll_schedule.py
+++ b/tulipnotch/sidecar/discovery/poll_schedule.py
@@ -65,6 +65,15 @@
         """
         return self.connect_timeout_s + self.response_timeout_s
 
+    def timeout_s(self, wait_ms: int) -> float:
+        """Returns the timeout for a call that waits this long (ms) for a change."""
+        return wait_ms / 1_000 + self.response_timeout_s if wait_ms else self.call_timeout_s
+
+    @property
+    def abandon_delay_s(self) -> float:
+        """Time after its timeout for which a call stays open, since it may still get its response."""
+        return self.max_propagation_s / 2
+
     @property
     def read_timeout_s(self) -> float:
         """Longest time without a further byte of a response that has started."""
--- a/tulipnotch/sidecar/discovery/watch.py
+++ b/tulipnotch/sidecar/discovery/watch.py
@@ -4,7 +4,8 @@
   that one succeeds.
 * A watch that hangs looks like one without an event, and a change that it misses counts as announced all the
   same.  So a call whose response is overdue is hedged: by a call that does not wait, on a connection of its
-  own.
+  own.  The first response ends the wait for all of them; the others go on without the watch, since they may
+  have more to announce.
 """
 
 from __future__ import annotations
@@ -13,30 +14,13 @@
 from typing import Protocol
 
 from tulipnotch.sidecar.clock import Clock
+from tulipnotch.sidecar.discovery.call_events import CallKind
 from tulipnotch.sidecar.discovery.discovery_connection import DiscoveryConnection
-from tulipnotch.sidecar.discovery.endpoint_list_codec import DiscoveryError, DiscoveryResponse
+from tulipnotch.sidecar.discovery.endpoint_list_codec import DiscoveryError
+from tulipnotch.sidecar.discovery.outstanding_calls import DiscoveryCall
 from tulipnotch.sidecar.discovery.poll_schedule import PollIntervals, PollSchedule
 
 
-class DiscoveryCall:
-    """One call in flight, and the connection that it uses."""
-
-    __slots__ = ("connection", "revision", "task")
-
-    def __init__(
-        self, connection: DiscoveryConnection, revision: int, task: asyncio.Task[DiscoveryResponse]
-    ) -> None:
-        """Describes a call in flight; `revision` is the owner's count of changes when it started."""
-        self.connection = connection
-        self.revision = revision
-        self.task = task
-
-    def cancel(self) -> None:
-        """Cancels the call and closes its connection."""
-        self.task.cancel()
-        self.connection.close()
-
-
 class InstanceSlots:
     """The slots of one instance in the poll schedule of its fleet, by the sidecar's clock."""
 
@@ -68,12 +52,14 @@
         """Whether an endpoint is cached or discovery has responded; until then, calls are more frequent."""
         ...
 
-    def start_call(self, connection: DiscoveryConnection | None, wait_ms: int) -> DiscoveryCall:
+    def start_call(
+        self, kind: CallKind, connection: DiscoveryConnection | None, wait_ms: int
+    ) -> DiscoveryCall:
         """Starts a call for the changes since the known version; `connection` None means a new connection."""
         ...
 
-    def watch_responded(self, call: DiscoveryCall, response: DiscoveryResponse, *, is_update: bool) -> None:
-        """Handles the response to a call; `is_update` unless it says only that nothing has changed."""
+    def detach_call(self, call: DiscoveryCall) -> None:
+        """Ends the wait for a call, which goes on without its watch."""
         ...
 
     def watch_failed(self, error: DiscoveryError) -> None:
@@ -118,20 +104,13 @@
             DiscoveryError: A call and all its hedged calls failed.
         """
         connection: DiscoveryConnection | None = None
-        try:
-            wait_ms = 0
-            while True:
-                call = await self._call_with_hedging(connection, wait_ms)
-                connection, response = call.connection, call.task.result()
-                has_event = response.is_complete or bool(response.endpoints)
-                is_update = has_event or self.is_initial_response_pending
-                if is_update:
-                    self.is_initial_response_pending = False
-                self._owner.watch_responded(call, response, is_update=is_update)
-                wait_ms = self._slots.watch_wait_ms(after_event=has_event and wait_ms > 0)
-        finally:
-            if connection is not None:
-                connection.close()
+        wait_ms = 0
+        while True:
+            call = await self._call_with_hedging(connection, wait_ms)
+            connection, response = call.connection, call.result.result()
+            self.is_initial_response_pending = False
+            has_event = response.is_complete or bool(response.endpoints)
+            wait_ms = self._slots.watch_wait_ms(after_event=has_event and wait_ms > 0)
 
     async def _call_with_hedging(self, connection: DiscoveryConnection | None, wait_ms: int) -> DiscoveryCall:
         """Makes a call, and hedged calls while it is overdue; returns the first that has a response.
@@ -139,39 +118,41 @@
         Raises:
             DiscoveryError: All of them failed.
         """
-        calls = [self._start_call(connection, wait_ms)]
+        calls = [self._start_call(CallKind.WATCH, connection, wait_ms)]
         delay_s = self._owner.intervals.hedge_delay_s
         if wait_ms:
             delay_s = wait_ms / 1_000 + self._schedule.hedge_delay_s
         remaining_early_hedges = self._owner.intervals.max_early_hedges
         try:
             while True:
-                tasks = [call.task for call in calls]
+                results = [call.result for call in calls]
                 timeout_s = self._time_until_next_call_s(delay_s)
-                done, _ = await asyncio.wait(tasks, timeout=timeout_s, return_when=asyncio.FIRST_COMPLETED)
-                for call in [call for call in calls if call.task in done]:
+                done, _ = await asyncio.wait(results, timeout=timeout_s, return_when=asyncio.FIRST_COMPLETED)
+                for call in [call for call in calls if call.result in done]:
                     calls.remove(call)
-                    error = call.task.exception()
+                    error = call.result.exception()
                     if error is None:
                         return call
-                    call.connection.close()
+                    self._owner.detach_call(call)
                     if not calls or not isinstance(error, DiscoveryError):
                         raise error
                     # Allows one more, as the other calls may have hung since before discovery was reachable.
                     remaining_early_hedges += 1
                 if not done:
                     remaining_early_hedges -= 1
-                    calls.append(self._start_call(None, 0))
+                    calls.append(self._start_call(CallKind.HEDGE, None, 0))
                 delay_s = self._schedule.call_interval_s
                 if remaining_early_hedges > 0:
                     delay_s = self._owner.intervals.hedge_delay_s
         finally:
             for call in calls:
-                call.cancel()
+                self._owner.detach_call(call)
 
-    def _start_call(self, connection: DiscoveryConnection | None, wait_ms: int) -> DiscoveryCall:
-        call = self._owner.start_call(connection, wait_ms)
-        self._call_started_at = asyncio.get_running_loop().time()
+    def _start_call(
+        self, kind: CallKind, connection: DiscoveryConnection | None, wait_ms: int
+    ) -> DiscoveryCall:
+        call = self._owner.start_call(kind, connection, wait_ms)
+        self._call_started_at = call.started_at
         self._time_until_initial_slot_s = self._slots.time_until_initial_slot_s()
         return call
 
--- a/tulipnotch/sidecar/endpoint_updates.py
+++ b/tulipnotch/sidecar/endpoint_updates.py
@@ -8,11 +8,19 @@
 from tulipnotch.load_balancing import Balancer
 from tulipnotch.load_balancing.events import EndpointsUpdated, EndpointUpdateKind
 from tulipnotch.sidecar.addresses import format_address
+from tulipnotch.sidecar.discovery.call_events import (
+    CallEnded,
+    DiscoveryEvent,
+    ListApplied,
+    ListDiscarded,
+)
 from tulipnotch.sidecar.discovery.client import DiscoveryClient
 from tulipnotch.sidecar.discovery.endpoint_list_codec import DiscoveredEndpoint, DiscoveryResponse
 from tulipnotch.sidecar.event_queue import EventQueue
 from tulipnotch.sidecar.requests.context import SidecarContext
 
+_SIBLING_SOURCE = "another process"  # source of a list in the log, in place of the kind of a call
+
 
 class EndpointUpdateForwarder:
     """Forwards what discovery reports to the upstream pool and to the balancer (`DiscoveryObserver`).
@@ -45,6 +53,37 @@
         """Logs the cause of a failed call."""
         self._context.log("discovery_failed", fault=fault)
 
+    def event_occurred(self, event: DiscoveryEvent) -> None:
+        """Logs and counts a list that was applied or discarded, or a call that was ended."""
+        log, telemetry = self._context.log, self._context.telemetry
+        match event:
+            case ListApplied(version, change_count, kind, call_age_s):
+                telemetry.endpoint_list_applied()
+                call_age_ms = int(call_age_s * 1e3)
+                log(
+                    "endpoint_list_applied",
+                    version=version,
+                    changes=change_count,
+                    source=kind.value,
+                    call_age_ms=call_age_ms,
+                )
+            case ListDiscarded(version, version_in_force, reason):
+                telemetry.endpoint_list_discarded(reason)
+                log(
+                    "endpoint_list_discarded",
+                    version=version,
+                    in_force=version_in_force,
+                    reason=reason.value,
+                )
+            case CallEnded(kind, reason, has_response_bytes):
+                telemetry.discovery_call_ended(reason)
+                log(
+                    "discovery_call_ended",
+                    kind=kind.value,
+                    reason=reason.value,
+                    bytes="some" if has_response_bytes else "no",
+                )
+
 
 class EndpointListAccess:
     """The endpoint list of this process, for other processes of its sidecar (`EndpointListSource`)."""
@@ -91,7 +130,15 @@
 
         It is no response to a call of this process, whose own calls go on as if it had not been received.
         """
-        if self._discovery.accept_version(response.version):
+        if self._discovery.accept_list(response):
+            self._context.telemetry.endpoint_list_applied()
+            self._context.log(
+                "endpoint_list_applied",
+                version=response.version,
+                changes=len(response.endpoints),
+                source=_SIBLING_SOURCE,
+                call_age_ms=0,
+            )
             self._context.upstream.endpoints_updated(response)
             self._events.post(response.to_event(EndpointUpdateKind.CACHED))
             self._on_change()
--- a/tulipnotch/sidecar/logs.py
+++ b/tulipnotch/sidecar/logs.py
@@ -70,6 +70,16 @@
     ),
     "handover_unavailable": _warning("nothing is shared with other processes of this sidecar: {fault}"),
     "discovery_failed": _warning("discovery failed: {fault}; the endpoint list in force stays"),
+    "endpoint_list_applied": _info(
+        "endpoint list applied: version {version}, {changes} changes, from {source}, "
+        "{call_age_ms} ms after the call began"
+    ),
+    "endpoint_list_discarded": _info(
+        "endpoint list discarded: version {version}, {reason}; version {in_force} is in force"
+    ),
+    "discovery_call_ended": _info(
+        "call to discovery ended: {kind}, {reason}; {bytes} bytes of a response had come"
+    ),
     "reloaded": _info("reloaded: discovery at {discovery}{waits}"),
     "reload_rejected": _error("reload rejected, the previous configuration stays in force: {fault}"),
     "ejected": _warning("ejected {server}: {reason}"),
--- a/tulipnotch/sidecar/upstream/connection.py
+++ b/tulipnotch/sidecar/upstream/connection.py
@@ -139,6 +139,13 @@
         """Number of bytes of a response that are buffered."""
         return self._reader.buffered_bytes
 
+    @property
+    def has_response_bytes(self) -> bool:
+        """Whether a response was received in part, or the socket has unread input or its end."""
+        if self._transport is None or self.is_closed:
+            return False
+        return self._reader.is_mid_message or bool(self._poll.poll(0))
+
     def is_usable(self) -> bool:
         """Returns whether a request may be written now: the connection is idle and has no unread input.
 
