A start with pushed lists waits for a list, not for the first failed call

Cause: Startup.listen took a call that had failed (503, reset, malformed) for the agent's first response, and a takeover whose predecessor was killed used the cached list.

A refused connection still ends the wait: a discovery that is down learns nothing.

--- a/benchmarks/ready.py
+++ b/benchmarks/ready.py
@@ -41,6 +41,7 @@
     "control_endpoint_listening": _event_pattern("control_endpoint_listening"),
     "endpoint_list_stale": _event_pattern("endpoint_list_stale"),
     "discovery_failed": _event_pattern("discovery_failed", fault=".+"),
+    "discovery_call_ended": _event_pattern("discovery_call_ended"),
 }
 
 
--- a/tulipnotch/sidecar/discovery/call_events.py
+++ b/tulipnotch/sidecar/discovery/call_events.py
@@ -11,7 +11,7 @@
     """Why a call was made; the values are written to the log."""
 
     WATCH = "watch"
-    HEDGE = "hedged call"
+    HEDGE = "hedge"
     FETCH = "fetch"
     REFRESH = "refresh"  # requests the complete list, since the one in force may lack changes
 
--- a/tulipnotch/sidecar/discovery/client.py
+++ b/tulipnotch/sidecar/discovery/client.py
@@ -20,7 +20,7 @@
     ListApplied,
     ListDiscarded,
 )
-from tulipnotch.sidecar.discovery.discovery_connection import DiscoveryConnection
+from tulipnotch.sidecar.discovery.discovery_connection import DiscoveryConnection, DiscoveryDownError
 from tulipnotch.sidecar.discovery.endpoint_list_codec import (
     DiscoveredEndpoint,
     DiscoveryError,
@@ -100,7 +100,8 @@
         self._list = EndpointListState(cached)
         self._calls = OutstandingCalls(self._slots.schedule, self)
         self._fault: str | None = None  # the cause that was reported last; None once a call has succeeded
-        self.first_call_ended = asyncio.Event()  # set when a call has a response or has failed
+        # Set once discovery has responded, or has refused a connection: one that is down announces nothing.
+        self.settled = asyncio.Event()
         self._is_response_due = False  # whether the next response is reported even if it has no change
         self._is_subscribed = self._is_pushed
         self._watch: EndpointWatch | None = None
@@ -267,7 +268,8 @@
             self._observer.call_failed()
 
     def _report_fault(self, error: DiscoveryError) -> None:
-        self.first_call_ended.set()
+        if isinstance(error, DiscoveryDownError):
+            self.settled.set()
         if str(error) != self._fault:
             self._fault = str(error)
             self._observer.fault_changed(self._fault)
@@ -276,7 +278,7 @@
 
     def call_responded(self, call: DiscoveryCall, response: DiscoveryResponse) -> None:
         """Applies the response, as far as it is newer than the list in force."""
-        self.first_call_ended.set()
+        self.settled.set()
         is_due = call.kind is CallKind.FETCH
         if self._list.is_of_current_source(call.origin):
             is_due = is_due or self._is_response_due
--- a/tulipnotch/sidecar/discovery/discovery_connection.py
+++ b/tulipnotch/sidecar/discovery/discovery_connection.py
@@ -31,6 +31,10 @@
     """A call to discovery got no response, or none that can be used; the text names the cause."""
 
 
+class DiscoveryDownError(DiscoveryCallError):
+    """Discovery has refused the connection: no process listens at its address."""
+
+
 class DiscoveryConnection:
     """Carries calls to discovery one after another; reconnects for a call if the connection has ended."""
 
@@ -73,6 +77,8 @@
             response = await self._get(target.encode())
         except TimeoutError:
             raise DiscoveryCallError("no connection within the time limit") from None
+        except ConnectionRefusedError as error:
+            raise DiscoveryDownError(f"cannot connect: {error}") from None
         except OSError as error:
             raise DiscoveryCallError(f"cannot connect: {error}") from None
         if isinstance(response, ExchangeFailure):
--- a/tulipnotch/sidecar/sidecar.py
+++ b/tulipnotch/sidecar/sidecar.py
@@ -146,7 +146,7 @@
             self._context.log,
             self.downstream,
             self._budget,
-            self._discovery.first_call_ended,
+            self._discovery.settled,
             self._endpoint_updates.received,
         )
         self._shutdown = Shutdown(
@@ -174,7 +174,7 @@
         self._discovery.start()
         if inherited is not None and handover is not None:
             handover.start()
-            await self._startup.take_over(inherited, handover)
+            await self._startup.take_over(inherited, handover, self._context.settings.discovery_mode)
         elif reserved is not None:
             await self._startup.listen(reserved, self._context.settings.discovery_mode)
             if not self.config.known.endpoints:
