A process of an upgrade passes on what discovery told it in its last 50 ms

After an upgrade the new process may send to a server of which only the old one was told that it drains, until its own next call is answered.

Cause: a list is passed on 50 ms after it has changed, and the end of the process cancelled that; a response that had arrived and was not read yet was closed over.

Change: as a process that shares its listener ends, it reads the responses to its calls that have arrived, for 50 ms at most where one is incomplete, and sends the list before it closes the channel.

--- a/tests/sidecar/discovery/outstanding_calls.py
+++ b/tests/holding_discovery.py
@@ -37,12 +37,12 @@
     def __init__(self, *entries: dict[str, Any]) -> None:
         """Holds no call; the complete list has these entries, or one server that is ready."""
         super().__init__(self._respond)
-        self._entries = entries or (ready_entry(),)
+        self.servers = list(entries) or [ready_entry()]
         self.held: list[ReceivedRequest] = []
 
     async def _respond(self, received: ReceivedRequest) -> bytes | None:
         if len(self.received_requests) == 1:
-            return http_response(list_json(VERSION_BEFORE, *self._entries, is_complete=True))
+            return http_response(list_json(VERSION_BEFORE, *self.servers, is_complete=True))
         self.held.append(received)
         await asyncio.Event().wait()
         return None
--- a/tests/sidecar/discovery/test_outstanding_calls.py
+++ b/tests/sidecar/discovery/test_outstanding_calls.py
@@ -7,8 +7,7 @@
 from contextlib import asynccontextmanager
 
 import pytest
-from loopback import ScriptedServer, http_response, run_async
-from outstanding_calls import (
+from holding_discovery import (
     VERSION_BEFORE,
     VERSION_OF_DRAIN,
     HoldingDiscovery,
@@ -16,6 +15,7 @@
     list_json,
     ready_entry,
 )
+from loopback import ScriptedServer, http_response, run_async
 from recording_observer import RecordingObserver
 
 from tulipnotch.load_balancing.events import EndpointState
--- a/tests/sidecar/discovery/test_outstanding_calls_of_a_process.py
+++ b/tests/sidecar/discovery/test_outstanding_calls_of_a_process.py
@@ -6,8 +6,8 @@
 from pathlib import Path
 
 import pytest
+from holding_discovery import VERSION_BEFORE, VERSION_OF_DRAIN, HoldingDiscovery, list_json
 from loopback import OK_RESPONSE, ScriptedServer, endpoint_entry, run_async
-from outstanding_calls import VERSION_BEFORE, VERSION_OF_DRAIN, HoldingDiscovery, list_json
 from running import VALID_CONFIG, running_sidecar, wait_for_metric
 
 _GRACE_S = 0.25  # after a drain is announced, as at Sfax
--- a/tests/sidecar/test_upgrade_endpoint_lists.py
+++ b/tests/sidecar/test_upgrade_endpoint_lists.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import json
+import signal
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from pathlib import Path
 
 import pytest
+from holding_discovery import VERSION_OF_DRAIN, HoldingDiscovery, list_json
 from loopback import (
     OK_RESPONSE,
     ReceivedRequest,
@@ -15,25 +17,28 @@
     ScriptedDiscovery,
     ScriptedServer,
     endpoint_entry,
+    http_request,
     listen,
     run_async,
     wait_until,
+    within_timeout,
 )
 from running import VALID_CONFIG, SidecarProcess, running_sidecar, wait_for_metric
-from upgrading import stop_accepting
+from upgrading import PartialRequest, stop_accepting
 
 _UNRESPONSIVE_DISCOVERY_LOG = "no fresh endpoint list|discovery failed: no response"
 _REQUESTS = 20
+_KNOWN_WITHIN_S = 0.3  # the drain grace of 0.25 s, and 0.05 s of slack
 
 
 class Fleet:
     """Two servers, of which one can be drained, and the discovery of each process."""
 
-    def __init__(self, folder: Path) -> None:
+    def __init__(self, folder: Path, discovery: ScriptedDiscovery | HoldingDiscovery) -> None:
         self._folder = folder
         self.requests_by_server: dict[str, int] = {"s-1": 0, "s-2": 0}
         self.listener = listen()
-        self.discovery = ScriptedDiscovery()
+        self.discovery = discovery
         self._servers: list[ScriptedServer] = []
 
     async def start(self) -> None:
@@ -56,10 +61,6 @@
             each.stop()
         self.listener.close()
 
-    def drain(self) -> None:
-        """Announces to whoever watches that s-1 is draining."""
-        self.discovery.announce({**self.entries[0], "state": "leaving"})
-
     @asynccontextmanager
     async def process(self, allowed_log_pattern: str | None = None) -> AsyncIterator[SidecarProcess]:
         """Runs a process whose cached list has both servers as ready."""
@@ -71,8 +72,10 @@
 
 
 @asynccontextmanager
-async def running_fleet(folder: Path) -> AsyncIterator[Fleet]:
-    fleet = Fleet(folder)
+async def running_fleet(
+    folder: Path, discovery: ScriptedDiscovery | HoldingDiscovery
+) -> AsyncIterator[Fleet]:
+    fleet = Fleet(folder, discovery)
     await fleet.start()
     try:
         yield fleet
@@ -80,6 +83,11 @@
         fleet.stop()
 
 
+def announce_drain(fleet: Fleet, discovery: ScriptedDiscovery) -> None:
+    """Announces to whoever watches that s-1 is draining."""
+    discovery.announce({**fleet.entries[0], "state": "leaving"})
+
+
 async def send_requests(process: SidecarProcess) -> None:
     for _ in range(_REQUESTS):
         client = await process.connect()
@@ -97,11 +105,12 @@
 ) -> None:
     # Guards against a new process that sends to a server which the old one knows to be draining.
     async def work() -> None:
-        async with running_fleet(tmp_path) as fleet, fleet.process() as old:
+        discovery = ScriptedDiscovery()
+        async with running_fleet(tmp_path, discovery) as fleet, fleet.process() as old:
             await wait_until_watching(fleet, 2)
-            fleet.drain()
+            announce_drain(fleet, discovery)
             await wait_for_metric(old, "app.members_unavailable", 1)
-            fleet.discovery.stop_responding()
+            discovery.stop_responding()
             async with fleet.process(_UNRESPONSIVE_DISCOVERY_LOG) as new:
                 if is_old_killed:
                     old.process.kill()
@@ -117,13 +126,40 @@
 def test_process_receives_what_discovery_tells_the_other_one(tmp_path: Path) -> None:
     # Guards against a watch that is silent at one of the two processes only.
     async def work() -> None:
-        async with running_fleet(tmp_path) as fleet, fleet.process() as old:
+        discovery = ScriptedDiscovery()
+        async with running_fleet(tmp_path, discovery) as fleet, fleet.process() as old:
             await wait_until_watching(fleet, 2)
             async with fleet.process() as new:
                 await wait_until_watching(fleet, 4)
-                fleet.discovery.stop_responding()  # to any later call
-                fleet.drain()  # answers one of the two watches
+                discovery.stop_responding()  # to any later call
+                announce_drain(fleet, discovery)  # answers one of the two watches
                 for each in (old, new):
                     await wait_for_metric(each, "app.members_unavailable", 1)
 
     run_async(work)
+
+
+@pytest.mark.parametrize("is_unread", [False, True], ids=["applied", "unread"])
+def test_new_process_receives_what_discovery_tells_the_old_one_just_before_its_end(
+    tmp_path: Path, *, is_unread: bool
+) -> None:
+    # Guards against a drain that is announced to the old process in its last 50 ms, and to no other.
+    async def work() -> None:
+        discovery = HoldingDiscovery()
+        async with running_fleet(tmp_path, discovery) as fleet, fleet.process() as old:
+            await discovery.wait_for_held(1)
+            client = await old.connect()
+            assert (await client.send_request("check")).status == 200  # the old process has accepted it
+            async with fleet.process(_UNRESPONSIVE_DISCOVERY_LOG) as new:
+                open_request = PartialRequest(client, http_request("check"))  # keeps the old process
+                await stop_accepting(old)
+                if is_unread:
+                    old.process.send_signal(signal.SIGSTOP)
+                discovery.write(0, list_json(VERSION_OF_DRAIN, {**fleet.entries[0], "state": "leaving"}))
+                open_request.client.close()
+                if is_unread:
+                    old.process.send_signal(signal.SIGCONT)
+                await within_timeout(old.process.wait())
+                await wait_for_metric(new, "app.members_unavailable", 1, _KNOWN_WITHIN_S)
+
+    run_async(work)
--- a/tulipnotch/sidecar/discovery/client.py
+++ b/tulipnotch/sidecar/discovery/client.py
@@ -206,6 +206,10 @@
         for _ in range(fetch_count):
             self.fetch()
 
+    async def read_arrived_responses(self) -> None:
+        """Applies the responses that have arrived; to be called before `close`."""
+        await self._calls.read_arrived()
+
     def close(self) -> None:
         """Ends all calls."""
         if self._watch is not None:
--- a/tulipnotch/sidecar/discovery/outstanding_calls.py
+++ b/tulipnotch/sidecar/discovery/outstanding_calls.py
@@ -19,6 +19,7 @@
 
 # Interval at which a call that was due to be ended is looked at again, while its response arrives.
 _RECHECK_INTERVAL_S = 0.05
+_FINAL_READ_TIMEOUT_S = 0.05  # longest wait for responses that are incomplete as the process ends
 _DELTA_KINDS = (CallKind.WATCH, CallKind.HEDGE)
 
 
@@ -87,11 +88,6 @@
         """Whether a further call may be started without exceeding the limit."""
         return len(self._calls) < MAX_CALLS_IN_FLIGHT or any(each.is_detached for each in self._calls)
 
-    @property
-    def has_response_bytes(self) -> bool:
-        """Whether a response has arrived in part, or waits to be read."""
-        return any(each.connection.has_response_bytes for each in self._calls)
-
     def start(
         self, kind: CallKind, origin: CallOrigin, connection: DiscoveryConnection, wait_ms: int = 0
     ) -> DiscoveryCall:
@@ -122,6 +118,14 @@
         if call not in self._calls:
             call.connection.close()
 
+    async def read_arrived(self) -> None:
+        """Reads the responses that have arrived, and waits a short time for the rest of an incomplete one."""
+        arrived = [
+            each.task for each in self._calls if each.task is not None and each.connection.has_response_bytes
+        ]
+        if arrived:
+            await asyncio.wait(arrived, timeout=_FINAL_READ_TIMEOUT_S)
+
     def close(self) -> None:
         """Ends all calls."""
         for call in list(self._calls):
--- a/tulipnotch/sidecar/handover/endpoint_lists.py
+++ b/tulipnotch/sidecar/handover/endpoint_lists.py
@@ -67,6 +67,11 @@
         if self._timer is None:
             self._timer = asyncio.get_running_loop().call_later(_COALESCING_DELAY_S, self.send_list)
 
+    def flush(self) -> None:
+        """Sends the list now if it has changed since it was sent last."""
+        if self._timer is not None:
+            self.send_list()
+
     def send_list(self) -> None:
         """Sends the list now."""
         self.cancel()
--- a/tulipnotch/sidecar/handover/handover.py
+++ b/tulipnotch/sidecar/handover/handover.py
@@ -99,8 +99,8 @@
 
     def close(self) -> None:
         """Stops sharing; all responses of this process have ended."""
+        self._lists.flush()
         self._channel.close()
-        self._lists.cancel()
         self._cancel_timer()
         if self._journal is not None:
             self._journal.close()
--- a/tulipnotch/sidecar/sidecar.py
+++ b/tulipnotch/sidecar/sidecar.py
@@ -275,6 +275,8 @@
     async def shut_down(self) -> None:
         """Responds to all requests that were read or still arrive, then closes everything."""
         await self._shutdown.run(hands_over_listener=self._handover is not None)
+        if self._handover is not None:
+            await self._discovery.read_arrived_responses()  # they count as announced to the other processes
         self.close()
 
     def close(self) -> None:
