Lists of overlapping sources: a withdrawal outweighs an older list; trains of events, forced and drawn

Found by the property test on a virtual clock: a list of a new address, older than what a call to the previous one had brought since, made a withdrawn server ready again; a call to a restarted discovery was taken for late; a call whose response was arriving was ended at the limit.

Change: where versions can't be compared, an endpoint that was withdrawn becomes ready only by a call that started after its withdrawal, and the complete list is requested; a call with bytes of a response is never ended at the limit.

The soak has a discovery that queues responses and releases them together, trains of reloads with a slow discovery, and restarts that discovery rejects.

--- a/tests/soak/discovery.py
+++ b/tests/soak/discovery.py
@@ -20,6 +20,7 @@
     OVERLOADED = "overloaded"  # Each request gets a 503.
     RESETS = "resets"  # Open connections and those of new requests are reset.
     SLOW = "slow"  # Each response is delayed by `_SLOW_RESPONSE_S`.
+    QUEUED = "queued"  # Responses are held until the fault ends, and are then written together.
 
 
 _SLOW_RESPONSE_S = 0.8
@@ -69,6 +70,8 @@
     ) -> None:
         self._sidecar_number, self._catalog, self._records, self._rng = sidecar_number, catalog, records, rng
         self._fault: DiscoveryFault | None = None
+        self._released = asyncio.Event()  # Ends the wait of responses that are queued.
+        self._released.set()
         self._servers: list[asyncio.Server] = []
         self._writers: set[asyncio.StreamWriter] = set()
 
@@ -84,6 +87,10 @@
     def set_fault(self, fault: DiscoveryFault | None) -> None:
         """Starts a fault, or ends it with None; RESETS also resets all open connections at once."""
         self._fault = fault
+        if fault is DiscoveryFault.QUEUED:
+            self._released.clear()
+        else:
+            self._released.set()
         if fault is DiscoveryFault.RESETS:
             self._records.discovery_resets.append(SidecarEvent(self._sidecar_number, now()))
             for writer in list(self._writers):
@@ -114,6 +121,7 @@
         if self._fault is DiscoveryFault.SLOW:
             await asyncio.sleep(_SLOW_RESPONSE_S)
         endpoint_list = await self._wait_for_list(request_header)
+        await self._released.wait()
         if self._fault is DiscoveryFault.UNRESPONSIVE:
             return True  # The response is never written, and the connection stays open.
         if writer.transport.is_closing():
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -193,6 +193,57 @@
         discovery.set_fault(None)
 
 
+async def queue_discovery(fleet: Fleet, rng: random.Random) -> None:
+    """Holds responses of discovery while a server begins to drain, and writes them together.
+
+    Discovery is slow for a while after that, so that no later call makes up for a response that is lost.
+    """
+    for discovery in fleet.discovery_servers:
+        discovery.set_fault(DiscoveryFault.QUEUED)
+    await asyncio.sleep(rng.uniform(0.5, 2.5))
+    draining_proxies = fleet.choose_proxies(rng, 0.2)
+    for proxy in draining_proxies:
+        await fleet.drain_server(proxy)
+        await fleet.add_server()
+    await asyncio.sleep(rng.uniform(0.0, 1.5))
+    for discovery in fleet.discovery_servers:
+        discovery.set_fault(DiscoveryFault.SLOW)
+    await asyncio.sleep(2.0)
+    for discovery in fleet.discovery_servers:
+        discovery.set_fault(None)
+    for proxy in draining_proxies:
+        await fleet.remove_server(proxy)
+
+
+async def reload_in_trains(fleet: Fleet, rng: random.Random) -> None:
+    """Reloads configurations faster than discovery responds, while servers drain."""
+
+    async def reload_often(sidecar: ManagedSidecar) -> None:
+        interval_s = rng.choice([0.05, 0.3, 0.7])
+        for _ in range(rng.randint(4, 8)):
+            fleet.reload_sidecar(sidecar, rng)
+            await asyncio.sleep(interval_s)
+
+    sidecars = fleet.choose_sidecars(rng, 0.4)
+    for sidecar in sidecars:
+        fleet.discovery_servers[sidecar.number].set_fault(DiscoveryFault.SLOW)
+    await asyncio.gather(drain_servers(fleet, rng), *(reload_often(each) for each in sidecars))
+    for sidecar in sidecars:
+        fleet.discovery_servers[sidecar.number].set_fault(None)
+
+
+async def reject_restarts(fleet: Fleet, rng: random.Random) -> None:
+    """Kills processes, and lets discovery reject the calls of their successors for a while."""
+    sidecars = fleet.choose_sidecars(rng, 0.3)
+    for sidecar in sidecars:
+        fleet.discovery_servers[sidecar.number].set_fault(DiscoveryFault.OVERLOADED)
+    restarts = [asyncio.ensure_future(fleet.kill_sidecar(each)) for each in sidecars]
+    await asyncio.gather(drain_servers(fleet, rng), asyncio.sleep(rng.uniform(1.0, 4.0)))
+    for sidecar in sidecars:
+        fleet.discovery_servers[sidecar.number].set_fault(None)
+    await asyncio.gather(*restarts)
+
+
 async def disconnect_early(fleet: Fleet, rng: random.Random) -> None:
     """Makes clients disconnect before their responses, send slowly, and exchange large bodies."""
     generators = [generator for generator in fleet.load_generators if rng.random() < 0.7]
@@ -285,6 +336,9 @@
         crash_servers,
         drain_servers,
         disrupt_discovery,
+        queue_discovery,
+        reload_in_trains,
+        reject_restarts,
         disconnect_early,
         send_incomplete,
         signal_series,
--- a/tulipnotch/sidecar/discovery/client.py
+++ b/tulipnotch/sidecar/discovery/client.py
@@ -22,7 +22,6 @@
 )
 from tulipnotch.sidecar.discovery.discovery_connection import DiscoveryConnection, DiscoveryDownError
 from tulipnotch.sidecar.discovery.endpoint_list_codec import (
-    DiscoveredEndpoint,
     DiscoveryError,
     DiscoveryResponse,
     EndpointListLimits,
@@ -291,13 +290,16 @@
         has_changes = response.is_complete or bool(response.endpoints)
         match self._list.judge(call.origin, response):
             case Verdict.APPLY:
-                self._list.apply(call.origin, response)
-                self._list_applied(call, response, is_reported=has_changes or is_due)
+                applied = self._list.apply(call.origin, response)
+                self._list_applied(call, applied, is_reported=has_changes or is_due)
             case Verdict.APPLY_RESTARTED:
-                self._list.apply_restarted(response)
-                self._list_applied(call, response, is_reported=True)
-            case Verdict.WITHDRAW if endpoints := self._list.withdrawals(response):
-                self._withdraw(call, endpoints)
+                applied = self._list.apply_restarted(call.origin, response)
+                self._list_applied(call, applied, is_reported=True)
+            case Verdict.WITHDRAW if endpoints := self._list.withdraw(call.origin, response):
+                withdrawal = response._replace(
+                    version=self._list.version_in_force, is_complete=False, endpoints=endpoints
+                )
+                self._list_applied(call, withdrawal, is_reported=True)
             case verdict:
                 self._list_discarded(response, verdict, is_logged=has_changes)
                 if is_due:
@@ -319,12 +321,6 @@
             self._observer.event_occurred(ListApplied(response.version, change_count, call.kind, call_age_s))
         self._observer.endpoints_received(response)
 
-    def _withdraw(self, call: DiscoveryCall, endpoints: tuple[DiscoveredEndpoint, ...]) -> None:
-        """Withdraws endpoints until the complete list has come again."""
-        self._list.withdraw(endpoints)
-        withdrawal = DiscoveryResponse(self._list.version_in_force, is_complete=False, endpoints=endpoints)
-        self._list_applied(call, withdrawal, is_reported=True)
-
     def _list_discarded(self, response: DiscoveryResponse, verdict: Verdict, *, is_logged: bool) -> None:
         if is_logged:
             self._observer.event_occurred(
--- a/tulipnotch/sidecar/discovery/list_state.py
+++ b/tulipnotch/sidecar/discovery/list_state.py
@@ -8,19 +8,23 @@
   another list was applied since that start, it can't be told which of the two is older.
 * A source is one discovery server until it is restarted.  Versions of two sources can't be compared, so the
   list of a later source replaces that of an earlier one.
-* A response of an earlier source, or one whose age can't be told, may be older or newer than the list in
-  force.  It makes no endpoint ready, but what it withdraws is withdrawn until the source in force has sent
-  its complete list once more.
+* Where versions can't be compared, a withdrawal counts more than the contrary: a response of an earlier
+  source makes no endpoint ready, but what it withdraws is withdrawn; and an endpoint that was withdrawn
+  becomes ready by another source only if its call started after that.  The complete list is then requested
+  once more.
 """
 
 from __future__ import annotations
 
+from dataclasses import replace
 from enum import Enum, auto, unique
 from typing import NamedTuple
 
 from tulipnotch.load_balancing.events import EndpointDescription, EndpointState
 from tulipnotch.sidecar.discovery.endpoint_list_codec import DiscoveredEndpoint, DiscoveryResponse
 
+_MAX_WITHDRAWALS = 8_192  # more than a list may have; of older ones, no call is outstanding
+
 
 @unique
 class Verdict(Enum):
@@ -41,6 +45,13 @@
     revision: int  # number of lists that had been applied
 
 
+class _Withdrawal(NamedTuple):
+    """When an endpoint that is not ready was withdrawn."""
+
+    revision: int
+    source: int
+
+
 class EndpointListState:
     """The version and the source of the list in force, and which endpoints it has as ready."""
 
@@ -48,11 +59,13 @@
         """Starts with the list that was cached before the start, as if from the first source."""
         self._source = 0
         self._source_in_force = 0
+        self._restarted_source: int | None = None  # number of the source in force before its restart
         self._version = cached.version
         self._revision = 0
         self._needs_complete_list = False
         self._ready = _ready_names(cached)
-        self._previous_ready: frozenset[str] = frozenset()  # when the source in force was replaced
+        self._withdrawals: dict[str, _Withdrawal] = {}  # keyed by name, the latest last
+        self._previous_names: frozenset[str] = frozenset()  # known when the source in force was replaced
 
     @property
     def version(self) -> int | None:
@@ -88,73 +101,128 @@
 
     def judge(self, origin: CallOrigin, response: DiscoveryResponse) -> Verdict:
         """Returns what is to be done with a response to a call that started as `origin` describes."""
-        if origin.source != self._source_in_force:
-            return Verdict.APPLY if origin.source > self._source_in_force else Verdict.WITHDRAW
+        is_unchanged = origin.revision == self._revision  # whether nothing was applied since the call started
+        if origin.source > self._source_in_force:
+            return Verdict.APPLY
+        if origin.source < self._source_in_force and not self._is_of_restarted(origin, response):
+            return Verdict.WITHDRAW
         if response.version > self._version:
             return Verdict.APPLY
         if response.version == self._version:
-            return Verdict.APPLY if origin.revision == self._revision else Verdict.KNOWN
-        if origin.version is not None and response.version < origin.version:
-            return Verdict.APPLY_RESTARTED if origin.revision == self._revision else Verdict.WITHDRAW
-        return Verdict.STALE
+            return Verdict.APPLY if is_unchanged else Verdict.KNOWN
+        if origin.source == self._source_in_force and _is_restart(origin, response):
+            return Verdict.APPLY_RESTARTED if is_unchanged else Verdict.WITHDRAW
+        is_comparable = origin.source == self._source_in_force and origin.version is not None
+        return Verdict.STALE if is_comparable else Verdict.WITHDRAW
+
+    def _is_of_restarted(self, origin: CallOrigin, response: DiscoveryResponse) -> bool:
+        """Returns whether a call that started before discovery was restarted got its response after it."""
+        return origin.source == self._restarted_source and _is_restart(origin, response)
 
-    def apply(self, origin: CallOrigin, response: DiscoveryResponse) -> None:
-        """Makes a list of the source in force, or of a later one, the list in force."""
+    def apply(self, origin: CallOrigin, response: DiscoveryResponse) -> DiscoveryResponse:
+        """Makes a list of the source in force, or of a later one, the list in force.
+
+        Returns:
+            The list without the endpoints as ready that were withdrawn after the call had started.
+        """
         if origin.source > self._source_in_force:
             self._source_in_force = origin.source
-            self._previous_ready = frozenset(self._ready)
-        self._set_list(response)
+            self._restarted_source = None
+            self._previous_names = frozenset(self._ready | self._withdrawals.keys())
+        return self._set_list(origin, response)
 
-    def apply_restarted(self, response: DiscoveryResponse) -> None:
-        """Makes the list of a restarted discovery server the one in force, whatever its version."""
+    def apply_restarted(self, origin: CallOrigin, response: DiscoveryResponse) -> DiscoveryResponse:
+        """Makes the list of a restarted discovery server the one in force, whatever its version.
+
+        Returns:
+            See `apply`.
+        """
+        self._restarted_source = self._source_in_force
         self._source += 1
         self._source_in_force = self._source
-        self._previous_ready = frozenset(self._ready)
-        self._needs_complete_list = True  # changes since the version of the earlier source may be missing
-        self._set_list(response)
+        self._previous_names = frozenset(self._ready | self._withdrawals.keys())
+        applied = self._set_list(origin, response)
+        # Changes since the version of the earlier source may be missing in a delta.
+        self._needs_complete_list = self._needs_complete_list or not response.is_complete
+        return applied
 
     def apply_from_sibling(self, response: DiscoveryResponse) -> None:
         """Makes the newer list of another process, from the same source, the one in force."""
-        self._set_list(response)
+        self._set_list(self.start_call(), response)
 
-    def withdrawals(self, response: DiscoveryResponse) -> tuple[DiscoveredEndpoint, ...]:
-        """Returns the endpoints that are ready now, and that a response of unknown age withdraws.
+    def withdraw(self, origin: CallOrigin, response: DiscoveryResponse) -> tuple[DiscoveredEndpoint, ...]:
+        """Withdraws, until the next complete list, what a response of unknown age withdraws.
 
         What a complete list doesn't name is removed; endpoints that an earlier source never had are not
         concerned.
+
+        Returns:
+            The endpoints that were ready until now.
         """
-        withdrawn = [
-            each
-            for each in response.endpoints
-            if each.description.state is not EndpointState.READY and each.description.name in self._ready
-        ]
+        withdrawn = [each for each in response.endpoints if not _is_ready(each)]
         if response.is_complete:
             listed = {each.description.name for each in response.endpoints}
-            removed = (self._previous_ready & self._ready) - listed
+            is_earlier = origin.source < self._source_in_force
+            names = self._ready | self._withdrawals.keys()
+            known = names & self._previous_names if is_earlier else names
             withdrawn += [
                 DiscoveredEndpoint(EndpointDescription(name=name, state=EndpointState.REMOVED), None)
-                for name in sorted(removed)
+                for name in sorted(known - listed)
             ]
-        return tuple(withdrawn)
-
-    def withdraw(self, endpoints: tuple[DiscoveredEndpoint, ...]) -> None:
-        """Withdraws endpoints until the next complete list, which has to be requested."""
-        self._ready -= {each.description.name for each in endpoints}
-        self._needs_complete_list = True
-        self._revision += 1
-
-    def _set_list(self, response: DiscoveryResponse) -> None:
-        self._version = response.version
+        if not withdrawn:
+            return ()
         self._revision += 1
+        self._record_withdrawals({each.description.name for each in withdrawn}, origin.source)
+        were_ready = tuple(each for each in withdrawn if each.description.name in self._ready)
+        if were_ready:
+            self._ready -= {each.description.name for each in were_ready}
+            self._needs_complete_list = True
+        return were_ready
+
+    def _set_list(self, origin: CallOrigin, response: DiscoveryResponse) -> DiscoveryResponse:
+        endpoints = tuple(self._without_withdrawn(origin, each) for each in response.endpoints)
+        applied = response._replace(endpoints=endpoints)
+        ready = _ready_names(applied)
+        withdrawn = {each.description.name for each in endpoints} - ready
         if response.is_complete:
-            self._ready = _ready_names(response)
+            withdrawn |= (self._ready | self._withdrawals.keys()) - ready
+            self._ready = ready
             self._needs_complete_list = False
-            return
-        for each in response.endpoints:
-            if each.description.state is EndpointState.READY:
-                self._ready.add(each.description.name)
-            else:
-                self._ready.discard(each.description.name)
+        else:
+            self._ready = (self._ready | ready) - withdrawn
+        if endpoints != response.endpoints:
+            self._needs_complete_list = True
+        self._version = response.version
+        self._revision += 1
+        for name in ready:
+            self._withdrawals.pop(name, None)
+        self._record_withdrawals(withdrawn, self._source_in_force)
+        return applied
+
+    def _without_withdrawn(self, origin: CallOrigin, endpoint: DiscoveredEndpoint) -> DiscoveredEndpoint:
+        """Returns the endpoint as draining if it is not known whether it is ready by now."""
+        withdrawal = self._withdrawals.get(endpoint.description.name)
+        if withdrawal is None or not _is_ready(endpoint):
+            return endpoint
+        if origin.revision >= withdrawal.revision or origin.source == withdrawal.source:
+            return endpoint
+        return endpoint._replace(description=replace(endpoint.description, state=EndpointState.DRAINING))
+
+    def _record_withdrawals(self, names: set[str], source: int) -> None:
+        for name in names:
+            self._withdrawals.pop(name, None)
+            self._withdrawals[name] = _Withdrawal(self._revision, source)
+        while len(self._withdrawals) > _MAX_WITHDRAWALS:
+            del self._withdrawals[next(iter(self._withdrawals))]
+
+
+def _is_restart(origin: CallOrigin, response: DiscoveryResponse) -> bool:
+    """Returns whether discovery counts anew: the version is lower than at the start of the call."""
+    return origin.version is not None and response.version < origin.version
+
+
+def _is_ready(endpoint: DiscoveredEndpoint) -> bool:
+    return endpoint.description.state is EndpointState.READY
 
 
 def _ready_names(response: DiscoveryResponse) -> set[str]:
--- a/tulipnotch/sidecar/discovery/outstanding_calls.py
+++ b/tulipnotch/sidecar/discovery/outstanding_calls.py
@@ -175,11 +175,11 @@
         """
         if len(self._calls) < MAX_CALLS_IN_FLIGHT:
             return
-        detached = [each for each in self._calls if each.is_detached]
-        silent = [each for each in detached if not each.connection.has_response_bytes]
-        candidates = silent or detached
+        candidates = [
+            each for each in self._calls if each.is_detached and not each.connection.has_response_bytes
+        ]
         if not candidates:
-            return
+            return  # the responses that are arriving end some calls soon
         timed_out = [each for each in candidates if each.has_timed_out]
         self._end(timed_out[0] if timed_out else candidates[-1], EndReason.TOO_MANY)
 
