Soak: a held list withdraws only servers that it could have named

The new fault holds a list while servers are added; the check took the added ones for withdrawn by it.

--- a/tests/soak/discovery.py
+++ b/tests/soak/discovery.py
@@ -121,6 +121,7 @@
         if self._fault is DiscoveryFault.SLOW:
             await asyncio.sleep(_SLOW_RESPONSE_S)
         endpoint_list = await self._wait_for_list(request_header)
+        updated_names = self._catalog.updated_server_names()  # others may be added while the list is held
         await self._released.wait()
         if self._fault is DiscoveryFault.UNRESPONSIVE:
             return True  # The response is never written, and the connection stays open.
@@ -128,7 +129,7 @@
             return False  # The connection was reset before the response.
         body = json.dumps(endpoint_list).encode()
         writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body))
-        self._record_withdrawals(endpoint_list)
+        self._record_withdrawals(endpoint_list, updated_names)
         return True
 
     async def _wait_for_list(self, request_header: bytes) -> dict[str, object]:
@@ -144,8 +145,11 @@
             pass
         return self._catalog.complete_list() if self._rng.random() < 0.2 else self._catalog.delta_since(after)
 
-    def _record_withdrawals(self, endpoint_list: dict[str, object]) -> None:
-        """Records the servers that this list withdraws, because they are not active or no longer listed."""
+    def _record_withdrawals(self, endpoint_list: dict[str, object], updated_names: set[str]) -> None:
+        """Records the servers that this list withdraws, because they are not active or no longer listed.
+
+        `updated_names` are the servers whose entries had been updated when the list was made.
+        """
         entries = endpoint_list["servers"]
         assert isinstance(entries, list)
         written_at = now()
@@ -157,7 +161,7 @@
                 if withdrawal.sidecar_number == self._sidecar_number
             }
             listed = {entry["id"] for entry in entries}
-            withdrawn |= (self._catalog.updated_server_names() - listed) - already_withdrawn
+            withdrawn |= (updated_names - listed) - already_withdrawn
         self._records.withdrawals += [
             Withdrawal(self._sidecar_number, name, written_at) for name in withdrawn
         ]
